--- /dev/null
+++ b/apps/gwt-gateway.cpp
@@ -0,0 +1,65 @@
+#include "common/Log.h"
+#include "gateway/Gateway.h"
+#include "platform/PlatformFeed.h"
+#include "platform/PlatformHeaders.h"
+#include "platform/SettingsWatch.h"
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+using gwt::platform::PlatformSettings;
+
+gwt::GatewayOptions optionsOf(const PlatformSettings &settings)
+{
+    // Of the time between SIGTERM and SIGKILL.
+    constexpr std::chrono::milliseconds killMargin{500};
+    gwt::GatewayOptions options;
+    options.hostName = settings.hostName;
+    options.availabilityZone = settings.availabilityZone;
+    options.repeatBudget = {settings.repeatRatio, settings.repeatExtra, settings.repeatWindow};
+    options.stopLimit = settings.stopGrace - killMargin;
+    return options;
+}
+
+int run(const std::string &path, const PlatformSettings &settings)
+{
+    boost::asio::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    gwt::TimerQueue timers(context);
+    gwt::Metrics metrics;
+    const gwt::HeaderNames names = gwt::platform::platformHeaders();
+    const gwt::GatewayOptions options = optionsOf(settings);
+    gwt::GatewayCore core(context, timers, options, names, metrics);
+    gwt::GatewayListeners listeners;
+    listeners.callers = settings.callers;
+    listeners.readiness = settings.readiness;
+    listeners.readinessPath = gwt::platform::readinessPath;
+    gwt::GatewayProcess process(context, timers, core, options, listeners, metrics);
+    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, settings.hostName,
+                                     core);
+    gwt::platform::SettingsWatch watch(timers, path, settings);
+    const auto started = process.start([&watch] { watch.reload(); }, [] {});
+    if (!gwt::isOk(started)) {
+        gwt::logError("start_failed", {{"detail", gwt::errorOf(started).detail}});
+        return exitFailure;
+    }
+    watch.start();
+    feed.start();
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main()
+{
+    gwt::initializeLog("gwt-gateway", "info");
+    const std::string path = gwt::platform::platformSettingsPath();
+    const auto settings = gwt::platform::readPlatformSettings(path);
+    if (!gwt::isOk(settings)) {
+        gwt::logError("start_failed", {{"detail", gwt::errorOf(settings).detail}});
+        return exitUsage;
+    }
+    return run(path, gwt::valueOf(settings));
+}
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -2,5 +2,5 @@
 # Runs clang-format over all our sources with the given options.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find src apps standins test bench fuzz -name '*.h' -o -name '*.cpp' 2>/dev/null | sort \
+find src platform apps standins test bench fuzz -name '*.h' -o -name '*.cpp' 2>/dev/null | sort \
     | xargs -P 8 -n 16 clang-format "$@"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 if [ $# -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(find src apps standins test bench -name '*.cpp' | sort)
+    mapfile -t files < <(find src platform apps standins test bench -name '*.cpp' | sort)
 fi
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build-lint 2>/dev/null
 echo "clang-tidy: ${#files[@]} files clean"
--- a/src/relay/LatencyHistogram.cpp
+++ b/src/common/LatencyHistogram.cpp
@@ -1,4 +1,4 @@
-#include "relay/LatencyHistogram.h"
+#include "common/LatencyHistogram.h"
 
 #include <cmath>
 
--- a/src/http/internal/LowerCase.h
+++ b/src/common/LowerCase.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace gwt::internal {
+namespace gwt {
 
 /// \brief \a text with its ASCII letters in lower case.
 inline std::string lowerCase(std::string_view text)
@@ -15,4 +15,4 @@
     return result;
 }
 
-} // namespace gwt::internal
+} // namespace gwt
--- /dev/null
+++ b/src/common/TimerQueue.cpp
@@ -0,0 +1,48 @@
+#include "common/TimerQueue.h"
+
+namespace gwt {
+
+TimerQueue::TimerQueue(boost::asio::io_context &context)
+    : m_timer(context)
+{ }
+
+TimerQueue::Id TimerQueue::at(TimePoint due, Action action)
+{
+    const Id id{due, ++m_lastNumber};
+    m_pending.emplace(id, std::move(action));
+    arm();
+    return id;
+}
+
+void TimerQueue::cancel(Id &id)
+{
+    // The system timer stays armed: an early wake-up is cheaper than setting it each time.
+    if (id.number != 0)
+        m_pending.erase(id);
+    id = {};
+}
+
+void TimerQueue::arm()
+{
+    if (m_pending.empty() || m_pending.begin()->first.due >= m_armedFor)
+        return;
+    m_armedFor = m_pending.begin()->first.due;
+    m_timer.expires_at(m_armedFor);
+    m_timer.async_wait([this](const boost::system::error_code &failure) {
+        if (!failure)
+            runDue();
+    });
+}
+
+void TimerQueue::runDue()
+{
+    m_armedFor = TimePoint::max();
+    const TimePoint limit = Clock::now() + s_slack;
+    while (!m_pending.empty() && m_pending.begin()->first.due <= limit) {
+        auto timer = m_pending.extract(m_pending.begin());
+        timer.mapped()();
+    }
+    arm();
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/common/TimerQueue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "common/Time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace gwt {
+
+/// \brief Many timers of one event loop that share a single system timer.
+///
+/// Not thread-safe: used on the thread that runs the I/O context.
+class TimerQueue
+{
+public:
+    using Action = std::function<void()>;
+
+    /// \brief Names a pending timer; the default value names none.
+    struct Id
+    {
+        TimePoint due;
+        std::uint64_t number = 0;
+
+        auto operator<=>(const Id &) const = default;
+    };
+
+    explicit TimerQueue(boost::asio::io_context &context);
+
+    /// \brief Runs \a action once at \a due or soon after.
+    Id at(TimePoint due, Action action);
+    Id after(Duration delay, Action action) { return at(Clock::now() + delay, std::move(action)); }
+    /// \brief Forgets the timer of \a id, if it is still pending, and resets \a id.
+    void cancel(Id &id);
+
+private:
+    /// Timers that are due within this time run together; one wake-up costs more than it.
+    static constexpr Duration s_slack = Microseconds(300);
+
+    void arm();
+    void runDue();
+
+    boost::asio::steady_timer m_timer;
+    std::map<Id, Action> m_pending;
+    TimePoint m_armedFor = TimePoint::max();
+    std::uint64_t m_lastNumber = 0;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// \file
+/// \brief Module gateway: HTTP from callers to backend servers on a platform that registers them.
+
+#include "gateway/GatewayCore.h"
+#include "gateway/GatewayOptions.h"
+#include "gateway/GatewayProcess.h"
+#include "gateway/backends/BackendEntry.h"
+#include "gateway/backends/BackendFleet.h"
+#include "gateway/backends/BackendRegistry.h"
+#include "gateway/backends/BackendScore.h"
+#include "gateway/backends/BackendServer.h"
+#include "gateway/backends/Leg.h"
+#include "gateway/backends/ServicePool.h"
+#include "gateway/callers/CallerConnection.h"
+#include "gateway/callers/CallerExchange.h"
+#include "gateway/callers/CallerServer.h"
+#include "gateway/forwarding/ForwardRequest.h"
+#include "gateway/forwarding/ForwardingContext.h"
+#include "gateway/forwarding/HeaderNames.h"
+#include "gateway/forwarding/RecordMerge.h"
+#include "gateway/forwarding/Refusal.h"
+#include "gateway/forwarding/ServiceCall.h"
+#include "gateway/forwarding/ShardQueryRun.h"
+#include "gateway/forwarding/SingleForward.h"
+#include "gateway/policy/AnswerPolicy.h"
+#include "gateway/policy/HedgeTimer.h"
+#include "gateway/policy/RepeatBudget.h"
+#include "gateway/routing/Route.h"
+#include "gateway/routing/RouteTable.h"
+#include "gateway/routing/WeightedSplit.h"
--- /dev/null
+++ b/src/gateway/GatewayCore.cpp
@@ -0,0 +1,176 @@
+#include "gateway/GatewayCore.h"
+
+#include "common/Log.h"
+#include "gateway/forwarding/Refusal.h"
+#include "gateway/forwarding/ShardQueryRun.h"
+#include "gateway/forwarding/SingleForward.h"
+
+#include <charconv>
+
+namespace gwt {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Kept free before the target of a query: merging, the way back, and late timers.
+constexpr Milliseconds deliveryTime{8};
+/// Kept free before the caller's deadline, so that the last answer still reaches it.
+constexpr Milliseconds deadlineMargin{15};
+constexpr std::size_t recordBytes = 16;
+/// When to come back to a process that has just started.
+constexpr Milliseconds startReturn{200};
+
+std::optional<Milliseconds> readMilliseconds(std::string_view text)
+{
+    std::int64_t value = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (code != std::errc() || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return Milliseconds(value);
+}
+
+std::string_view viewOf(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+GatewayCore::GatewayCore(boost::asio::io_context &context, TimerQueue &timers,
+                         GatewayOptions options, const HeaderNames &names, Metrics &metrics)
+    : m_options(std::move(options))
+    , m_names(names)
+    , m_timers(timers)
+    , m_metrics(metrics)
+    , m_fleetSize(m_options.assumedFleetSize)
+    , m_registry(m_options.registryReturnGrace)
+    , m_backends(PoolContext{context, timers, names, metrics, m_options.availabilityZone},
+                 m_options.repeatBudget)
+    , m_answers(deliveryTime)
+    , m_merge(recordBytes)
+    , m_forwarding{timers, m_backends, m_hedges, m_answers, m_merge, names, metrics, m_fleetSize}
+{ }
+
+void GatewayCore::setConfig(RoutingConfig config)
+{
+    const std::uint64_t held = m_routes ? m_routes->config().version : 0;
+    if (config.version <= held)
+        return;
+    logInfo("config_applied",
+            {{"version", config.version},
+             {"previous", held},
+             {"routes", config.routes.size()},
+             {"services", config.services.size()}});
+    m_limits = config.limits;
+    m_routes = std::make_shared<const RouteTable>(std::move(config));
+    m_backends.setLimits(*m_routes, m_fleetSize);
+}
+
+void GatewayCore::setFleetSize(int size)
+{
+    if (size == m_fleetSize || size < 1)
+        return;
+    logInfo("fleet_size", {{"processes", size}, {"previous", m_fleetSize}});
+    m_fleetSize = size;
+    if (m_routes)
+        m_backends.setLimits(*m_routes, m_fleetSize);
+}
+
+void GatewayCore::setBackends(const std::vector<BackendEntry> &entries)
+{
+    m_hasBackends = true;
+    applyBackends(m_registry.replaceAll(entries, Clock::now()));
+}
+
+void GatewayCore::updateBackend(const BackendEntry &entry)
+{
+    applyBackends(m_registry.update(entry));
+}
+
+void GatewayCore::removeBackend(const std::string &id)
+{
+    applyBackends(m_registry.remove(id, Clock::now()));
+}
+
+void GatewayCore::noteRegistryReturn()
+{
+    m_registry.noteReturn(Clock::now());
+}
+
+void GatewayCore::applyBackends(const std::vector<BackendChange> &changes)
+{
+    for (const BackendChange &change : changes) {
+        if (!change.entry)
+            logInfo("backend_gone", {{"backend", change.id}});
+        else if (change.entry->isDraining)
+            logInfo("backend_draining",
+                    {{"backend", change.id}, {"service", change.entry->service}});
+    }
+    m_backends.apply(changes);
+    if (m_routes)
+        m_backends.setLimits(*m_routes, m_fleetSize);
+    scheduleExpiry();
+}
+
+void GatewayCore::scheduleExpiry()
+{
+    m_timers.cancel(m_expiryTimer);
+    const auto due = m_registry.nextExpiry();
+    if (due)
+        m_expiryTimer
+            = m_timers.at(*due, [this] { applyBackends(m_registry.expire(Clock::now())); });
+}
+
+void GatewayCore::countRequest(const Route &route, const char *how)
+{
+    m_metrics
+        .counter("gwt_gateway_requests_total", "Requests by route rank and kind",
+                 {{"rank", std::to_string(route.rank)}, {"kind", how}})
+        .Increment();
+}
+
+RequestPlan GatewayCore::plan(std::shared_ptr<CallerExchange> exchange, const Route &route) const
+{
+    RequestPlan plan;
+    plan.routes = m_routes;
+    plan.route = &route;
+    plan.request = std::make_shared<const ForwardRequest>(exchange->request(), m_names);
+    Milliseconds limit = route.timeout.count() > 0 ? route.timeout : Milliseconds(30000);
+    const auto asked = readMilliseconds(viewOf(exchange->request()[m_names.deadline]));
+    if (asked)
+        limit = std::min(limit, std::max(*asked - deadlineMargin, *asked / 2));
+    plan.deadline = exchange->arrivedAt() + limit;
+    plan.exchange = std::move(exchange);
+    return plan;
+}
+
+void GatewayCore::handle(std::shared_ptr<CallerExchange> exchange)
+{
+    const WireRequest &request = exchange->request();
+    if (!m_routes) {
+        exchange->respond(makeRefusal(503, "no_configuration", startReturn));
+        return;
+    }
+    if (request.count(m_names.requestId) != 1) {
+        exchange->respond(makeRefusal(400, "no_request_id"));
+        return;
+    }
+    const Route *route
+        = m_routes->find(viewOf(request[http::field::host]), viewOf(request.target()));
+    if (!route) {
+        exchange->respond(makeRefusal(404, "no_route"));
+        return;
+    }
+    RequestPlan requestPlan = plan(std::move(exchange), *route);
+    if (route->isShardQuery()) {
+        countRequest(*route, "shards");
+        std::make_shared<ShardQueryRun>(m_forwarding, std::move(requestPlan))->start();
+        return;
+    }
+    countRequest(*route, "single");
+    const std::string &service = m_split.next(*route);
+    std::make_shared<SingleForward>(m_forwarding, std::move(requestPlan), service)->start();
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/GatewayProcess.cpp
@@ -0,0 +1,104 @@
+#include "gateway/GatewayProcess.h"
+
+#include "common/Log.h"
+#include "gateway/forwarding/Refusal.h"
+
+#include <csignal>
+
+namespace gwt {
+
+namespace {
+
+constexpr Milliseconds stopPoll{50};
+
+} // namespace
+
+GatewayProcess::GatewayProcess(boost::asio::io_context &context, TimerQueue &timers,
+                               GatewayCore &core, GatewayOptions options,
+                               GatewayListeners listeners, Metrics &metrics)
+    : m_context(context)
+    , m_timers(timers)
+    , m_core(core)
+    , m_options(std::move(options))
+    , m_listeners(std::move(listeners))
+    , m_metrics(metrics)
+    , m_admin(*this)
+    , m_callers(context, CallerContext{timers, core, metrics, core.limits()})
+    , m_adminServer(context, CallerContext{timers, m_admin, metrics, core.limits()})
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+{ }
+
+Outcome<Done> GatewayProcess::start(std::function<void()> onReload, std::function<void()> onStop)
+{
+    m_onReload = std::move(onReload);
+    m_onStop = std::move(onStop);
+    const Outcome<Endpoint> admin = m_adminServer.listen(m_listeners.readiness);
+    if (!isOk(admin))
+        return errorOf(admin);
+    const Outcome<Endpoint> callers = m_callers.listen(m_listeners.callers);
+    if (!isOk(callers))
+        return errorOf(callers);
+    waitForSignal();
+    logInfo("started",
+            {{"host", m_options.hostName},
+             {"availability_zone", m_options.availabilityZone},
+             {"callers", toString(valueOf(callers))},
+             {"readiness", toString(valueOf(admin))}});
+    return Done{};
+}
+
+void GatewayProcess::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &failure, int signal) {
+        if (failure)
+            return;
+        if (signal == SIGHUP)
+            m_onReload();
+        else
+            stop();
+        waitForSignal();
+    });
+}
+
+void GatewayProcess::stop()
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_stopAsked = Clock::now();
+    logInfo("stopping", {{"connections", m_callers.connections()}});
+    m_callers.drain();
+    m_onStop();
+    m_timers.after(m_options.idleCloseDelay, [this] { finishStop(); });
+}
+
+void GatewayProcess::finishStop()
+{
+    m_callers.closeIdle();
+    const bool isLate = Clock::now() - m_stopAsked >= m_options.stopLimit;
+    if (m_callers.isQuiet() || isLate) {
+        logInfo("stopped", {{"is_quiet", m_callers.isQuiet() ? "yes" : "no"}});
+        m_context.stop();
+        return;
+    }
+    m_timers.after(stopPoll, [this] { finishStop(); });
+}
+
+void GatewayProcess::AdminHandler::handle(std::shared_ptr<CallerExchange> exchange)
+{
+    const auto target = exchange->request().target();
+    const std::string_view path(target.data(), target.size());
+    if (path == m_process.m_listeners.readinessPath) {
+        const bool isReady = m_process.m_core.isReady() && !m_process.m_isStopping;
+        exchange->respond({isReady ? 200U : 503U, {}, ""});
+        return;
+    }
+    if (path == m_process.m_listeners.metricsPath) {
+        exchange->respond(
+            {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_process.m_metrics.text()});
+        return;
+    }
+    exchange->respond(makeRefusal(404, "no_page"));
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/GatewayProcess.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "gateway/GatewayCore.h"
+#include "gateway/callers/CallerServer.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace gwt {
+
+/// \brief Addresses and paths at which a gateway process is asked.
+struct GatewayListeners
+{
+    Endpoint callers;
+    Endpoint readiness;
+    std::string readinessPath; ///< 200 while new connections are welcome, else 503
+    std::string metricsPath = "/metrics"; ///< on the readiness address
+};
+
+/// \brief Listeners, signals and the orderly stop of a gateway process.
+class GatewayProcess
+{
+public:
+    GatewayProcess(boost::asio::io_context &context, TimerQueue &timers, GatewayCore &core,
+                   GatewayOptions options, GatewayListeners listeners, Metrics &metrics);
+
+    /// \brief Opens the listeners. Errors: Unavailable "listen_failed".
+    Outcome<Done> start(std::function<void()> onReload, std::function<void()> onStop);
+
+private:
+    class AdminHandler : public RequestHandler
+    {
+    public:
+        explicit AdminHandler(GatewayProcess &process)
+            : m_process(process)
+        { }
+        void handle(std::shared_ptr<CallerExchange> exchange) override;
+
+    private:
+        GatewayProcess &m_process;
+    };
+
+    void waitForSignal();
+    void stop();
+    void finishStop();
+
+    boost::asio::io_context &m_context;
+    TimerQueue &m_timers;
+    GatewayCore &m_core;
+    const GatewayOptions m_options;
+    const GatewayListeners m_listeners;
+    Metrics &m_metrics;
+    AdminHandler m_admin;
+    CallerServer m_callers;
+    CallerServer m_adminServer;
+    boost::asio::signal_set m_signals;
+    std::function<void()> m_onReload;
+    std::function<void()> m_onStop;
+    TimePoint m_stopAsked;
+    bool m_isStopping = false;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/backends/BackendFleet.cpp
@@ -0,0 +1,68 @@
+#include "gateway/backends/BackendFleet.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+namespace {
+
+/// Connections of a backend server that no process plans with: closes and opens overlap.
+constexpr int spareConnections = 2;
+
+} // namespace
+
+int connectionShare(int maxConnections, int fleetSize)
+{
+    const int planned = std::max(maxConnections - spareConnections, 1);
+    return std::max(1, planned / std::max(1, fleetSize));
+}
+
+BackendFleet::BackendFleet(PoolContext context, RepeatBudgetRules budget)
+    : m_context(std::move(context))
+    , m_budget(budget)
+{ }
+
+ServicePool &BackendFleet::pool(const std::string &service)
+{
+    std::unique_ptr<ServicePool> &pool = m_pools[service];
+    if (!pool)
+        pool = std::make_unique<ServicePool>(m_context, service, m_budget);
+    return *pool;
+}
+
+void BackendFleet::apply(const std::vector<BackendChange> &changes)
+{
+    for (const BackendChange &change : changes) {
+        const auto known = m_serviceOf.find(change.id);
+        const bool isElsewhere = known != m_serviceOf.end()
+            && (!change.entry || change.entry->service != known->second);
+        if (isElsewhere) {
+            pool(known->second).removeServer(change.id);
+            m_serviceOf.erase(known);
+        }
+        if (change.entry) {
+            m_serviceOf[change.id] = change.entry->service;
+            pool(change.entry->service).setServer(*change.entry);
+        }
+    }
+}
+
+void BackendFleet::setLimits(const RouteTable &routes, int fleetSize)
+{
+    for (const ServiceSpec &service : routes.config().services) {
+        pool(service.name).setConnectionShare(connectionShare(service.maxConnections, fleetSize));
+    }
+}
+
+std::size_t BackendFleet::usableServers() const
+{
+    std::size_t usable = 0;
+    for (const auto &[service, pool] : m_pools) {
+        usable += static_cast<std::size_t>(
+            std::count_if(pool->servers().begin(), pool->servers().end(),
+                          [](const auto &each) { return each.second->isUsable(); }));
+    }
+    return usable;
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/backends/ServicePool.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "common/Metrics.h"
+#include "gateway/backends/BackendServer.h"
+#include "gateway/backends/Leg.h"
+#include "gateway/policy/RepeatBudget.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <list>
+#include <map>
+
+namespace gwt {
+
+/// \brief What all service pools of a process share.
+struct PoolContext
+{
+    boost::asio::io_context &context;
+    TimerQueue &timers;
+    const HeaderNames &names;
+    Metrics &metrics;
+    std::string availabilityZone; ///< of this process
+};
+
+/// \brief The backend servers of one service, and the legs that wait for a connection to one.
+class ServicePool
+{
+public:
+    ServicePool(PoolContext &context, std::string service, RepeatBudgetRules budget);
+
+    void setServer(const BackendEntry &entry);
+    void removeServer(const std::string &id);
+    /// \brief Connections that this process may hold to each backend server.
+    void setConnectionShare(int connections) { m_connectionShare = connections; }
+
+    /// \brief Sends \a leg as soon as a connection is free; its handler may run at once.
+    void submit(const std::shared_ptr<Leg> &leg);
+    /// \brief Nobody waits for \a leg any more: a waiting leg is dropped, a sent one runs on.
+    void detach(const std::shared_ptr<Leg> &leg);
+    /// \brief The caller has left: \a leg is dropped and its connection closed.
+    void cancel(const std::shared_ptr<Leg> &leg);
+
+    /// \brief True if some backend server other than those of \a avoid can take work.
+    bool hasServer(TimePoint now, const std::vector<std::string> &avoid = {}) const;
+    RepeatBudget &budget() { return m_budget; }
+    std::size_t waiting() const { return m_queue.size(); }
+    bool isEmpty() const { return m_servers.empty(); }
+    const std::map<std::string, std::shared_ptr<BackendServer>> &servers() const
+    {
+        return m_servers;
+    }
+
+private:
+    struct Choice
+    {
+        std::shared_ptr<BackendServer> server;
+        std::shared_ptr<ClientConnection> connection; ///< null: a new one is needed first
+    };
+
+    void dispatch();
+    bool isCandidate(const BackendServer &server, const std::vector<std::string> &avoid,
+                     TimePoint now) const;
+    Choice choose(const Leg &leg, TimePoint now);
+    void send(const std::shared_ptr<Leg> &leg, const Choice &choice, TimePoint now);
+    void openConnection(const std::shared_ptr<BackendServer> &server);
+    void onReply(const std::shared_ptr<Leg> &leg, Outcome<WireResponse> outcome);
+    LegReply interpret(const Leg &leg, Outcome<WireResponse> &outcome) const;
+    void expire(const std::shared_ptr<Leg> &leg);
+    void end(const std::shared_ptr<Leg> &leg, LegReply reply);
+    void release(const std::shared_ptr<Leg> &leg);
+    void enqueue(const std::shared_ptr<Leg> &leg);
+
+    PoolContext &m_context;
+    const std::string m_service;
+    RepeatBudget m_budget;
+    std::map<std::string, std::shared_ptr<BackendServer>> m_servers; ///< by id
+    std::list<std::shared_ptr<Leg>> m_queue; ///< most urgent first, then oldest
+    int m_connectionShare = 1;
+    std::uint64_t m_lastNumber = 0;
+    bool m_isDispatching = false;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -0,0 +1,288 @@
+#include "gateway/callers/CallerConnection.h"
+
+#include "common/Log.h"
+
+#include <boost/asio/write.hpp>
+
+namespace gwt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBytes = 4096;
+/// Bytes of further requests that may wait while one is answered.
+constexpr std::size_t maxAheadBytes = 65536;
+constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+
+unsigned statusOf(const error_code &failure)
+{
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
+        return 431;
+    return failure == http::error::body_limit ? 413 : 400;
+}
+
+std::string serialize(const CallerResponse &response, bool isHead, bool keepAlive)
+{
+    std::string text;
+    text.reserve(256 + response.body.size());
+    const auto reason = http::obsolete_reason(http::int_to_status(response.status));
+    text.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+    text.append(reason.data(), reason.size()).append("\r\n");
+    for (const auto &[name, value] : response.fields)
+        text.append(name).append(": ").append(value).append("\r\n");
+    text.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+    if (!keepAlive)
+        text.append("Connection: close\r\n");
+    text.append("\r\n");
+    if (!isHead)
+        text.append(response.body);
+    return text;
+}
+
+} // namespace
+
+/// The request that is being answered.
+class CallerConnection::Exchange : public CallerExchange
+{
+public:
+    Exchange(std::shared_ptr<CallerConnection> connection, WireRequest request, TimePoint arrivedAt)
+        : m_connection(std::move(connection))
+        , m_request(std::move(request))
+        , m_arrivedAt(arrivedAt)
+    { }
+
+    const WireRequest &request() const override { return m_request; }
+    TimePoint arrivedAt() const override { return m_arrivedAt; }
+    void respond(CallerResponse response) override
+    {
+        m_goneHandler = nullptr;
+        const auto connection = std::exchange(m_connection, nullptr);
+        if (!connection || !connection->m_isOpen)
+            return;
+        const bool keepAlive = m_request.keep_alive() && !connection->m_context.isDraining;
+        connection->write(response, m_request.method() == http::verb::head, keepAlive);
+    }
+    void onCallerGone(std::function<void()> handler) override
+    {
+        if (m_connection)
+            m_goneHandler = std::move(handler);
+    }
+    void leave()
+    {
+        m_connection.reset();
+        if (const auto handler = std::exchange(m_goneHandler, nullptr))
+            handler();
+    }
+
+private:
+    std::shared_ptr<CallerConnection> m_connection; ///< null once answered or gone
+    WireRequest m_request;
+    TimePoint m_arrivedAt;
+    std::function<void()> m_goneHandler;
+};
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerContext &context)
+    : m_socket(std::move(socket))
+    , m_context(context)
+{ }
+
+void CallerConnection::start()
+{
+    error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    beginRequest();
+}
+
+void CallerConnection::beginRequest()
+{
+    m_hasBegun = false;
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_context.limits.maxHeaderBytes));
+    m_parser->body_limit(m_context.limits.maxBodyBytes);
+    m_context.timers.cancel(m_timeout);
+    const std::weak_ptr<CallerConnection> weak = weak_from_this();
+    m_timeout = m_context.timers.after(m_context.limits.idleTimeout, [weak] {
+        if (const auto self = weak.lock())
+            self->onTimeout();
+    });
+    parse();
+}
+
+void CallerConnection::read()
+{
+    if (m_isReading || !m_isOpen)
+        return;
+    if (m_current && m_buffer.size() >= maxAheadBytes)
+        return;
+    m_isReading = true;
+    m_socket.async_read_some(
+        m_buffer.prepare(readBytes),
+        [self = shared_from_this()](const error_code &failure, std::size_t count) {
+            self->onRead(failure, count);
+        });
+}
+
+void CallerConnection::onRead(const error_code &failure, std::size_t count)
+{
+    m_isReading = false;
+    if (!m_isOpen)
+        return;
+    if (failure) {
+        callerGone();
+        return;
+    }
+    m_buffer.commit(count);
+    if (m_current || m_isWriting)
+        read();
+    else
+        parse();
+}
+
+void CallerConnection::parse()
+{
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        if (!m_hasBegun) {
+            m_hasBegun = true;
+            m_arrivedAt = Clock::now();
+            m_context.timers.cancel(m_timeout);
+            const std::weak_ptr<CallerConnection> weak = weak_from_this();
+            m_timeout = m_context.timers.after(m_context.limits.headerTimeout, [weak] {
+                if (const auto self = weak.lock())
+                    self->onTimeout();
+            });
+        }
+        const bool hadHeader = m_parser->is_header_done();
+        error_code failure;
+        m_buffer.consume(m_parser->put(m_buffer.data(), failure));
+        if (failure && failure != http::error::need_more) {
+            reject(failure);
+            return;
+        }
+        if (!hadHeader && m_parser->is_header_done()) {
+            m_context.timers.cancel(m_timeout);
+            const bool wantsContinue
+                = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+            error_code ignored;
+            if (wantsContinue && !m_parser->is_done())
+                m_socket.send(asio::buffer(continueResponse), 0, ignored);
+        }
+        if (failure == http::error::need_more)
+            break;
+    }
+    if (m_parser->is_done())
+        dispatch();
+    else
+        read();
+}
+
+void CallerConnection::onTimeout()
+{
+    if (m_current || m_isWriting)
+        return;
+    if (!m_hasBegun) {
+        close();
+        return;
+    }
+    m_context.metrics
+        .counter("gwt_gateway_bad_requests_total", "Requests that could not be read",
+                 {{"reason", "header_timeout"}})
+        .Increment();
+    write({408, {}, ""}, false, false);
+}
+
+void CallerConnection::reject(const error_code &failure)
+{
+    const unsigned status = statusOf(failure);
+    m_context.metrics
+        .counter("gwt_gateway_bad_requests_total", "Requests that could not be read",
+                 {{"reason", std::to_string(status)}})
+        .Increment();
+    logInfo("bad_request", {{"status", status}, {"problem", failure.message()}});
+    write({status, {}, ""}, false, false);
+}
+
+void CallerConnection::dispatch()
+{
+    m_context.timers.cancel(m_timeout);
+    m_current = std::make_shared<Exchange>(shared_from_this(), m_parser->release(), m_arrivedAt);
+    read();
+    m_context.handler.handle(m_current);
+}
+
+void CallerConnection::write(const CallerResponse &response, bool isHead, bool keepAlive)
+{
+    m_current.reset();
+    m_isWriting = true;
+    m_output = serialize(response, isHead, keepAlive);
+    error_code failure;
+    const std::size_t written = m_socket.send(asio::buffer(m_output), 0, failure);
+    if (failure && failure != asio::error::would_block) {
+        close();
+        return;
+    }
+    if (written == m_output.size()) {
+        onWritten(keepAlive);
+        return;
+    }
+    asio::async_write(m_socket, asio::buffer(m_output.data() + written, m_output.size() - written),
+                      [self = shared_from_this(), keepAlive](const error_code &code, std::size_t) {
+                          if (code)
+                              self->close();
+                          else
+                              self->onWritten(keepAlive);
+                      });
+}
+
+void CallerConnection::onWritten(bool keepAlive)
+{
+    m_isWriting = false;
+    if (!m_isOpen)
+        return;
+    if (keepAlive) {
+        // Posted: a pipelined request must not be handled within the answer of the one before.
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            if (self->m_isOpen && !self->m_current && !self->m_isWriting)
+                self->beginRequest();
+        });
+        return;
+    }
+    // Reading on until the caller closes keeps its unread bytes from resetting the answer away.
+    error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_isWriting = true;
+    const std::weak_ptr<CallerConnection> weak = weak_from_this();
+    m_timeout = m_context.timers.after(std::chrono::seconds(1), [weak] {
+        if (const auto self = weak.lock())
+            self->close();
+    });
+    read();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!m_current && !m_isWriting && !m_hasBegun)
+        close();
+}
+
+void CallerConnection::callerGone()
+{
+    close();
+    if (const auto current = std::exchange(m_current, nullptr))
+        current->leave();
+}
+
+void CallerConnection::close()
+{
+    m_isOpen = false;
+    m_context.timers.cancel(m_timeout);
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/callers/CallerServer.cpp
@@ -0,0 +1,85 @@
+#include "gateway/callers/CallerServer.h"
+
+#include "common/Listener.h"
+#include "common/Log.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+namespace {
+
+/// Pause after a failed accept, as when no file descriptor is free.
+constexpr Milliseconds acceptPause{20};
+constexpr std::size_t minPrune = 64;
+
+} // namespace
+
+CallerServer::CallerServer(boost::asio::io_context &context, CallerContext callers)
+    : m_context(context)
+    , m_callers(std::move(callers))
+    , m_acceptor(context)
+{ }
+
+Outcome<Endpoint> CallerServer::listen(const Endpoint &local)
+{
+    Outcome<Endpoint> bound = openListener(m_acceptor, local);
+    if (isOk(bound))
+        accept();
+    return bound;
+}
+
+void CallerServer::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &failure,
+                                   boost::asio::ip::tcp::socket socket) {
+        if (failure == boost::asio::error::operation_aborted)
+            return;
+        if (failure) {
+            logWarning("accept_failed", {{"problem", failure.message()}});
+            m_callers.timers.after(acceptPause, [this] { accept(); });
+            return;
+        }
+        const auto connection = std::make_shared<CallerConnection>(std::move(socket), m_callers);
+        m_connections.push_back(connection);
+        if (m_connections.size() >= m_pruneAt)
+            prune();
+        connection->start();
+        accept();
+    });
+}
+
+void CallerServer::prune()
+{
+    m_connections.remove_if([](const auto &weak) {
+        const auto connection = weak.lock();
+        return !connection || !connection->isOpen();
+    });
+    m_pruneAt = std::max(minPrune, 2 * m_connections.size());
+}
+
+void CallerServer::closeIdle()
+{
+    prune();
+    for (const auto &weak : m_connections) {
+        if (const auto connection = weak.lock())
+            connection->closeIfIdle();
+    }
+}
+
+bool CallerServer::isQuiet()
+{
+    prune();
+    return std::none_of(m_connections.begin(), m_connections.end(), [](const auto &weak) {
+        const auto connection = weak.lock();
+        return connection && connection->isBusy();
+    });
+}
+
+std::size_t CallerServer::connections()
+{
+    prune();
+    return m_connections.size();
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/callers/CallerServer.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "common/Endpoint.h"
+#include "common/Outcome.h"
+#include "gateway/callers/CallerConnection.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <list>
+
+namespace gwt {
+
+/// \brief Accepts the connections of callers at one address.
+class CallerServer
+{
+public:
+    CallerServer(boost::asio::io_context &context, CallerContext callers);
+
+    /// \brief Errors: Unavailable "listen_failed".
+    Outcome<Endpoint> listen(const Endpoint &local);
+    /// \brief From now on each answer ends its connection; accepting goes on.
+    void drain() { m_callers.isDraining = true; }
+    /// \brief Closes the connections without a request.
+    void closeIdle();
+    /// \brief True if no request is being read or answered.
+    bool isQuiet();
+    std::size_t connections();
+
+private:
+    void accept();
+    void prune();
+
+    boost::asio::io_context &m_context;
+    CallerContext m_callers;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::list<std::weak_ptr<CallerConnection>> m_connections;
+    std::size_t m_pruneAt = 64; ///< connections at which closed ones are forgotten
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/ForwardRequest.cpp
@@ -0,0 +1,85 @@
+#include "gateway/forwarding/ForwardRequest.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace gwt {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::array<std::string_view, 11> hopFields{"Connection",
+                                                     "Keep-Alive",
+                                                     "Proxy-Connection",
+                                                     "Proxy-Authenticate",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Transfer-Encoding",
+                                                     "Upgrade",
+                                                     "Expect",
+                                                     "Proxy-Authorization",
+                                                     "Content-Length"};
+
+beast::string_view view(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+void appendField(std::string &head, std::string_view name, std::string_view value)
+{
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
+} // namespace
+
+bool isHopField(std::string_view name, std::string_view connectionField)
+{
+    const bool isListed = std::any_of(hopFields.begin(), hopFields.end(), [&](auto hop) {
+        return beast::iequals(view(hop), view(name));
+    });
+    return isListed
+        || (!connectionField.empty() && http::token_list(view(connectionField)).exists(view(name)));
+}
+
+ForwardRequest::ForwardRequest(const WireRequest &request, const HeaderNames &names)
+    : m_names(names)
+    , m_id(request[names.requestId])
+    , m_body(request.body())
+    , m_isHead(request.method() == http::verb::head)
+{
+    const std::string_view connection = view(request[http::field::connection]);
+    m_head.append(view(request.method_string())).append(" ");
+    m_head.append(view(request.target())).append(" HTTP/1.1\r\n");
+    for (const auto &field : request) {
+        const std::string_view name = view(field.name_string());
+        const bool isOurs = beast::iequals(field.name_string(), names.deadline)
+            || beast::iequals(field.name_string(), names.targetServer);
+        if (!isOurs && !isHopField(name, connection))
+            appendField(m_head, name, view(field.value()));
+    }
+    const bool hasLength = request.has_content_length() || request.chunked() || !m_body.empty();
+    if (hasLength)
+        appendField(m_head, "Content-Length", std::to_string(m_body.size()));
+}
+
+std::string ForwardRequest::message(Milliseconds timeLeft, std::string_view backendId) const
+{
+    std::string text;
+    text.reserve(m_head.size() + m_body.size() + 96);
+    text.append(m_head);
+    appendField(text, m_names.deadline,
+                std::to_string(std::max<std::int64_t>(1, timeLeft.count())));
+    appendField(text, m_names.targetServer, backendId);
+    return text.append("\r\n").append(m_body);
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "gateway/backends/BackendFleet.h"
+#include "gateway/callers/CallerExchange.h"
+#include "gateway/forwarding/RecordMerge.h"
+#include "gateway/policy/AnswerPolicy.h"
+#include "gateway/policy/HedgeTimer.h"
+
+namespace gwt {
+
+/// \brief What all requests of a process share; outlives them.
+struct ForwardingContext
+{
+    TimerQueue &timers;
+    BackendFleet &backends;
+    HedgeTimer &hedges;
+    const AnswerPolicy &answers;
+    const RecordMerge &merge;
+    const HeaderNames &names;
+    Metrics &metrics;
+    const int &fleetSize; ///< processes that share the budgets
+};
+
+/// \brief A request on its way, with what bounds it.
+struct RequestPlan
+{
+    std::shared_ptr<CallerExchange> exchange;
+    std::shared_ptr<const RouteTable> routes; ///< the version that the request started with
+    const Route *route = nullptr; ///< of \c routes
+    std::shared_ptr<const ForwardRequest> request;
+    TimePoint deadline; ///< the earlier of the caller's and the route's
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/HeaderNames.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+namespace gwt {
+
+/// \brief Names of the header fields that callers, the gateway and backend servers exchange.
+///
+/// The platform that the gateway runs on decides them.
+struct HeaderNames
+{
+    std::string requestId; ///< echoed by backend servers; new for each attempt of a caller
+    std::string deadline; ///< milliseconds that the sender will wait
+    std::string targetServer; ///< id of the backend server that may run the request
+    std::string serverId; ///< id of the backend server that answers
+    std::string notRun; ///< present: the backend server did not run the request
+    std::string signature; ///< proves that a backend server made the answer
+    std::string partSignatures; ///< signatures of the shards in a merged answer
+    std::string missingParts; ///< number of shards that are not in a merged answer
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -0,0 +1,214 @@
+#include "gateway/forwarding/ServiceCall.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Sends of one call that ended without having run, beyond the attempts of its route.
+constexpr int extraSends = 2;
+/// A full backend server of few slots has room again after about one request's work.
+constexpr Milliseconds refusalPause{15};
+
+} // namespace
+
+ServiceCall::ServiceCall(ForwardingContext &context, const RequestPlan &plan, std::string service,
+                         Handler handler)
+    : m_context(context)
+    , m_plan(plan)
+    , m_pool(context.backends.pool(service))
+    , m_service(std::move(service))
+    , m_handler(std::move(handler))
+{ }
+
+void ServiceCall::start()
+{
+    m_pool.budget().countFirst(Clock::now());
+    send();
+}
+
+bool ServiceCall::maySend() const
+{
+    const int mayRun = m_runs + static_cast<int>(m_legs.size());
+    return m_handler && mayRun < m_plan.route->maxAttempts
+        && m_sends < m_plan.route->maxAttempts + extraSends;
+}
+
+void ServiceCall::send()
+{
+    auto leg = std::make_shared<Leg>();
+    leg->request = m_plan.request;
+    leg->rank = m_plan.route->rank;
+    leg->isIdempotent = m_plan.route->isIdempotent;
+    leg->deadline = m_plan.deadline;
+    leg->usual = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
+    leg->avoid = m_tried;
+    leg->handler = [self = shared_from_this(), weak = std::weak_ptr(leg)](LegReply reply) {
+        if (const auto ended = weak.lock())
+            self->onReply(ended, std::move(reply));
+    };
+    ++m_sends;
+    m_legs.push_back(leg);
+    m_pool.submit(leg);
+}
+
+void ServiceCall::hedge(Duration age)
+{
+    if (!m_plan.route->isIdempotent || m_legs.size() != 1 || !maySend())
+        return;
+    const std::shared_ptr<Leg> leg = m_legs.front();
+    const TimePoint now = Clock::now();
+    if (!leg->server || now - leg->sentAt < age)
+        return;
+    const std::string first = leg->server->entry().id;
+    if (std::find(m_tried.begin(), m_tried.end(), first) == m_tried.end())
+        m_tried.push_back(first);
+    if (!m_pool.hasServer(now, m_tried) || !m_pool.budget().take(now, m_context.fleetSize))
+        return;
+    countRepeat("hedge");
+    send();
+}
+
+bool ServiceCall::isSuccess(const WireResponse &response) const
+{
+    return http::to_status_class(response.result()) == http::status_class::successful
+        && response.count(m_context.names.signature) > 0;
+}
+
+void ServiceCall::onReply(const std::shared_ptr<Leg> &leg, LegReply reply)
+{
+    std::erase(m_legs, leg);
+    if (!m_handler)
+        return;
+    if (reply.result == LegResult::Answered || reply.result == LegResult::Unknown)
+        ++m_runs;
+    if (reply.result == LegResult::Answered && isSuccess(*reply.response)) {
+        m_context.hedges.note(m_plan.route->name, reply.elapsed);
+        ServiceReply success;
+        success.response = std::move(reply.response);
+        success.isSuccess = true;
+        success.mayHaveRun = true;
+        finish(std::move(success));
+        return;
+    }
+    const bool isUnsigned = reply.result == LegResult::Answered
+        && http::to_status_class(reply.response->result()) == http::status_class::successful;
+    m_reason = reply.reason;
+    if (reply.result == LegResult::Answered)
+        m_reason = isUnsigned ? "unsigned_success" : "backend_error";
+    if (retry(reply))
+        return;
+    if (reply.result == LegResult::Answered && !isUnsigned)
+        m_failure = std::move(reply.response);
+    if (!m_legs.empty() || m_retryTimer.number != 0)
+        return;
+    ServiceReply failure;
+    failure.response = std::move(m_failure);
+    failure.mayHaveRun = m_runs > 0;
+    failure.reason = m_reason;
+    finish(std::move(failure));
+}
+
+bool ServiceCall::retry(const LegReply &reply)
+{
+    const bool hasRun = reply.result == LegResult::Answered || reply.result == LegResult::Unknown;
+    const bool isClientError = reply.result == LegResult::Answered
+        && http::to_status_class(reply.response->result()) == http::status_class::client_error;
+    if ((hasRun && !m_plan.route->isIdempotent) || isClientError || !maySend())
+        return false;
+    const TimePoint now = Clock::now();
+    if (reply.result == LegResult::NotSent) {
+        // No arrival anywhere: free of the budget, and the same server may be tried again.
+        if (!m_pool.hasServer(now, m_tried))
+            return false;
+        countRepeat("not_sent");
+        send();
+        return true;
+    }
+    m_tried.push_back(reply.backendId);
+    if (!m_legs.empty())
+        return false;
+    if (!m_pool.hasServer(now, m_tried)) {
+        if (reply.result == LegResult::NotRun && reply.reason != "misdirected")
+            retryLater();
+        return false;
+    }
+    if (!m_pool.budget().take(now, m_context.fleetSize))
+        return false;
+    countRepeat(hasRun ? "failed" : "not_run");
+    send();
+    return true;
+}
+
+void ServiceCall::retryLater()
+{
+    m_retryTimer = m_context.timers.after(refusalPause, [self = shared_from_this()] {
+        self->m_retryTimer = {};
+        if (!self->m_handler)
+            return;
+        self->m_tried.clear();
+        const TimePoint now = Clock::now();
+        const bool maySend = self->m_pool.hasServer(now)
+            && self->m_pool.budget().take(now, self->m_context.fleetSize);
+        if (maySend) {
+            self->countRepeat("not_run");
+            self->send();
+            return;
+        }
+        ServiceReply failure;
+        failure.response = std::move(self->m_failure);
+        failure.mayHaveRun = self->m_runs > 0;
+        failure.reason = self->m_reason;
+        self->finish(std::move(failure));
+    });
+}
+
+void ServiceCall::countRepeat(const std::string &kind)
+{
+    m_context.metrics
+        .counter("gwt_gateway_repeats_total", "Sends beyond the first of each request",
+                 {{"kind", kind}})
+        .Increment();
+}
+
+void ServiceCall::finish(ServiceReply reply)
+{
+    // Sends that lost the race run on, but can still be cancelled if the caller leaves.
+    const Handler handler = std::exchange(m_handler, nullptr);
+    abandon();
+    if (handler)
+        handler(std::move(reply));
+}
+
+void ServiceCall::detach()
+{
+    m_handler = nullptr;
+    m_context.timers.cancel(m_retryTimer);
+    for (const std::shared_ptr<Leg> &leg : std::exchange(m_legs, {}))
+        m_pool.detach(leg);
+}
+
+void ServiceCall::abandon()
+{
+    m_handler = nullptr;
+    m_context.timers.cancel(m_retryTimer);
+    const std::vector<std::shared_ptr<Leg>> legs = m_legs;
+    for (const std::shared_ptr<Leg> &leg : legs) {
+        if (!leg->server) {
+            m_pool.detach(leg);
+            std::erase(m_legs, leg);
+        }
+    }
+}
+
+void ServiceCall::cancel()
+{
+    abandon();
+    for (const std::shared_ptr<Leg> &leg : std::exchange(m_legs, {}))
+        m_pool.cancel(leg);
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/ServiceCall.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "gateway/forwarding/ForwardingContext.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace gwt {
+
+/// \brief How the call of a service ended.
+struct ServiceReply
+{
+    std::optional<WireResponse> response; ///< a success, or the last failure that a server sent
+    bool isSuccess = false;
+    bool mayHaveRun = false; ///< some backend server may have begun to work on it
+    std::string reason; ///< of a call without success, as metric label
+};
+
+/// \brief Gets the answer of one service to a request: the first send, second sends, retries.
+///
+/// A request that may run once is sent again only if the earlier send is proven not to have run.
+class ServiceCall : public std::enable_shared_from_this<ServiceCall>
+{
+public:
+    using Handler = std::function<void(ServiceReply)>;
+
+    ServiceCall(ForwardingContext &context, const RequestPlan &plan, std::string service,
+                Handler handler);
+
+    /// \brief Sends the request; the handler may run before this returns.
+    void start();
+    /// \brief Sends it to one more backend server if a send is out for \a age or longer.
+    void hedge(Duration age);
+    /// \brief Nobody waits for the answer; what was sent runs on.
+    void detach();
+    /// \brief Nobody waits any more and nothing further is sent; cancel() may follow.
+    void abandon();
+    /// \brief Drops what was sent and closes its connections.
+    void cancel();
+    bool isOpen() const { return static_cast<bool>(m_handler); }
+
+private:
+    bool maySend() const;
+    void send();
+    void onReply(const std::shared_ptr<Leg> &leg, LegReply reply);
+    bool retry(const LegReply &reply);
+    void retryLater();
+    void finish(ServiceReply reply);
+    bool isSuccess(const WireResponse &response) const;
+    void countRepeat(const std::string &kind);
+
+    ForwardingContext &m_context;
+    const RequestPlan m_plan;
+    ServicePool &m_pool;
+    const std::string m_service;
+    Handler m_handler; ///< empty once the call has ended
+    std::vector<std::shared_ptr<Leg>> m_legs; ///< those that have not ended
+    std::vector<std::string> m_tried;
+    std::optional<WireResponse> m_failure; ///< the last error response of a server
+    std::string m_reason = "no_server";
+    TimerQueue::Id m_retryTimer;
+    int m_runs = 0; ///< sends that have ended and may have run
+    int m_sends = 0;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -0,0 +1,213 @@
+#include "gateway/forwarding/ShardQueryRun.h"
+
+#include "common/Log.h"
+#include "gateway/forwarding/Refusal.h"
+
+namespace gwt {
+
+namespace {
+
+/// When to come back while too many shards have no backend server.
+constexpr Milliseconds shardsReturn{250};
+/// Legs of a caller that has left end by themselves in most cases; a connection that is closed
+/// must be opened again, so only those that are out for longer are broken off.
+constexpr Milliseconds abandonAfter{300};
+
+} // namespace
+
+ShardQueryRun::ShardQueryRun(ForwardingContext &context, RequestPlan plan)
+    : m_context(context)
+    , m_plan(std::move(plan))
+{ }
+
+Duration ShardQueryRun::elapsed() const
+{
+    return Clock::now() - m_plan.exchange->arrivedAt();
+}
+
+QueryProgress ShardQueryRun::progress() const
+{
+    QueryProgress progress;
+    progress.shards = m_plan.route->query.shards.size();
+    progress.answered = m_parts.size();
+    progress.open = m_open;
+    progress.minShare = m_plan.route->query.minShare;
+    progress.target = m_plan.route->target;
+    progress.elapsed = elapsed();
+    return progress;
+}
+
+void ShardQueryRun::start()
+{
+    const ShardQuery &query = m_plan.route->query;
+    const TimePoint now = Clock::now();
+    std::vector<std::string> reachable;
+    for (const std::string &shard : query.shards) {
+        if (m_context.backends.pool(shard).hasServer(now))
+            reachable.push_back(shard);
+        else
+            ++m_missing["no_server"];
+    }
+    if (reachable.size() < AnswerPolicy::minShards(query.shards.size(), query.minShare)) {
+        refuse(reachable.size());
+        return;
+    }
+    const auto self = shared_from_this();
+    m_plan.exchange->onCallerGone([self] { self->callerGone(); });
+    m_deadlineTimer
+        = m_context.timers.at(m_plan.deadline, [self] { self->giveUp(504, "deadline"); });
+    const Duration cutoff = m_context.answers.cutoff(m_plan.route->target);
+    m_cutoffTimer
+        = m_context.timers.at(m_plan.exchange->arrivedAt() + cutoff, [self] { self->decide(); });
+    armHedge(m_context.hedges.delay(m_plan.route->name, m_plan.route->target));
+    m_isStarting = true;
+    m_open = reachable.size();
+    for (const std::string &shard : reachable) {
+        auto call
+            = std::make_shared<ServiceCall>(m_context, m_plan, shard, [self](ServiceReply reply) {
+                  self->onShard(std::move(reply));
+              });
+        m_calls.push_back(call);
+        call->start();
+    }
+    m_isStarting = false;
+    decide();
+}
+
+void ShardQueryRun::onShard(ServiceReply reply)
+{
+    --m_open;
+    m_mayHaveRun = m_mayHaveRun || reply.mayHaveRun;
+    if (reply.isSuccess) {
+        const auto signature = (*reply.response)[m_context.names.signature];
+        m_parts.push_back({std::string(signature), std::move(reply.response->body())});
+    } else {
+        ++m_missing[reply.reason];
+    }
+    if (!m_isStarting)
+        decide();
+}
+
+void ShardQueryRun::decide()
+{
+    if (m_isEnded)
+        return;
+    switch (m_context.answers.decide(progress())) {
+    case QueryVerdict::Wait:
+        return;
+    case QueryVerdict::Answer:
+        answer();
+        return;
+    case QueryVerdict::GiveUp:
+        giveUp(m_mayHaveRun || m_open > 0 ? 502 : 503, "too_few_shards");
+        return;
+    }
+}
+
+void ShardQueryRun::armHedge(Duration delay)
+{
+    m_hedgeTimer = m_context.timers.after(delay, [self = shared_from_this()] { self->hedge(); });
+}
+
+void ShardQueryRun::hedge()
+{
+    if (m_isEnded)
+        return;
+    const Duration delay = m_context.hedges.delay(m_plan.route->name, m_plan.route->target);
+    const std::vector<std::shared_ptr<ServiceCall>> calls = m_calls;
+    for (const auto &call : calls) {
+        if (call->isOpen())
+            call->hedge(delay - Milliseconds(1));
+    }
+    armHedge(std::max<Duration>(delay / 2, Milliseconds(5)));
+}
+
+void ShardQueryRun::answer()
+{
+    CallerResponse response;
+    std::string signatures;
+    std::vector<std::string_view> parts;
+    for (const Part &part : m_parts) {
+        signatures.append(signatures.empty() ? "" : ", ").append(part.signature);
+        parts.push_back(part.records);
+    }
+    const ShardQuery &query = m_plan.route->query;
+    const std::size_t missing = query.shards.size() - m_parts.size();
+    response.fields.emplace_back(m_context.names.partSignatures, std::move(signatures));
+    response.fields.emplace_back(m_context.names.missingParts, std::to_string(missing));
+    response.body = m_context.merge.merge(parts, query.topRecords);
+    const auto exchange = m_plan.exchange;
+    end();
+    exchange->respond(std::move(response));
+}
+
+void ShardQueryRun::refuse(std::size_t reachable)
+{
+    logInfo("query_refused",
+            {{"id", m_plan.request->id()},
+             {"route", m_plan.route->name},
+             {"reason", "shards_unreachable"},
+             {"reachable", reachable},
+             {"shards", m_plan.route->query.shards.size()},
+             {"version", m_plan.routes->config().version}});
+    m_isEnded = true;
+    m_plan.exchange->respond(makeRefusal(503, "shards_unreachable", shardsReturn));
+}
+
+void ShardQueryRun::giveUp(unsigned status, const std::string &reason)
+{
+    if (m_isEnded)
+        return;
+    std::string missing;
+    for (const auto &[why, count] : m_missing)
+        missing += why + ":" + std::to_string(count) + " ";
+    logInfo("query_failed",
+            {{"id", m_plan.request->id()},
+             {"route", m_plan.route->name},
+             {"reason", reason},
+             {"status", status},
+             {"answered", m_parts.size()},
+             {"open", m_open},
+             {"missing", missing},
+             {"version", m_plan.routes->config().version},
+             {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}});
+    const auto exchange = m_plan.exchange;
+    end();
+    const bool isRefusal = status == 503;
+    exchange->respond(
+        makeRefusal(status, reason, isRefusal ? std::optional(shardsReturn) : std::nullopt));
+}
+
+void ShardQueryRun::callerGone()
+{
+    if (m_isEnded)
+        return;
+    logInfo("caller_gone",
+            {{"id", m_plan.request->id()},
+             {"route", m_plan.route->name},
+             {"answered", m_parts.size()},
+             {"open", m_open}});
+    m_isEnded = true;
+    m_context.timers.cancel(m_hedgeTimer);
+    m_context.timers.cancel(m_cutoffTimer);
+    m_context.timers.cancel(m_deadlineTimer);
+    for (const auto &call : m_calls)
+        call->abandon();
+    m_context.timers.after(abandonAfter, [self = shared_from_this()] {
+        for (const auto &call : self->m_calls)
+            call->cancel();
+        self->m_calls.clear();
+    });
+}
+
+void ShardQueryRun::end()
+{
+    m_isEnded = true;
+    m_context.timers.cancel(m_hedgeTimer);
+    m_context.timers.cancel(m_cutoffTimer);
+    m_context.timers.cancel(m_deadlineTimer);
+    for (const auto &call : std::exchange(m_calls, {}))
+        call->detach();
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "gateway/forwarding/ServiceCall.h"
+
+namespace gwt {
+
+/// \brief Runs one query over all shards of a route and answers with the merged records.
+///
+/// All shards are those of the configuration that was in force when the query arrived.
+class ShardQueryRun : public std::enable_shared_from_this<ShardQueryRun>
+{
+public:
+    ShardQueryRun(ForwardingContext &context, RequestPlan plan);
+
+    void start();
+
+private:
+    struct Part
+    {
+        std::string signature;
+        std::string records;
+    };
+
+    void onShard(ServiceReply reply);
+    void decide();
+    void armHedge(Duration delay);
+    void hedge();
+    void answer();
+    void giveUp(unsigned status, const std::string &reason);
+    void refuse(std::size_t reachable);
+    void callerGone();
+    void end();
+    QueryProgress progress() const;
+    Duration elapsed() const;
+
+    ForwardingContext &m_context;
+    const RequestPlan m_plan;
+    std::vector<std::shared_ptr<ServiceCall>> m_calls;
+    std::vector<Part> m_parts;
+    std::map<std::string, int> m_missing; ///< shards that failed, by reason
+    std::size_t m_open = 0;
+    bool m_isStarting = false;
+    bool m_isEnded = false;
+    bool m_mayHaveRun = false;
+    TimerQueue::Id m_hedgeTimer;
+    TimerQueue::Id m_cutoffTimer;
+    TimerQueue::Id m_deadlineTimer;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -0,0 +1,127 @@
+#include "gateway/forwarding/SingleForward.h"
+
+#include "common/Log.h"
+#include "gateway/forwarding/Refusal.h"
+
+namespace gwt {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// When to come back while the service has no backend server.
+constexpr Milliseconds serviceReturn{250};
+/// When to come back after all backend servers were full.
+constexpr Milliseconds fullReturn{200};
+/// A request that ends this soon by itself is not broken off when its caller has left.
+constexpr Milliseconds abandonAfter{300};
+
+} // namespace
+
+SingleForward::SingleForward(ForwardingContext &context, RequestPlan plan, std::string service)
+    : m_context(context)
+    , m_plan(std::move(plan))
+    , m_service(std::move(service))
+{ }
+
+void SingleForward::start()
+{
+    if (!m_context.backends.pool(m_service).hasServer(Clock::now())) {
+        fail(503, "no_server");
+        return;
+    }
+    const auto self = shared_from_this();
+    m_plan.exchange->onCallerGone([self] { self->callerGone(); });
+    m_deadlineTimer = m_context.timers.at(m_plan.deadline, [self] { self->fail(504, "deadline"); });
+    if (m_plan.route->isIdempotent)
+        armHedge();
+    m_call
+        = std::make_shared<ServiceCall>(m_context, m_plan, m_service, [self](ServiceReply reply) {
+              self->onReply(std::move(reply));
+          });
+    const auto call = m_call;
+    call->start();
+}
+
+void SingleForward::armHedge()
+{
+    const Duration delay = m_context.hedges.delay(m_plan.route->name, m_plan.route->target);
+    m_hedgeTimer = m_context.timers.after(delay, [self = shared_from_this(), delay] {
+        if (self->m_isEnded)
+            return;
+        const auto call = self->m_call;
+        call->hedge(delay - Milliseconds(1));
+        if (!self->m_isEnded)
+            self->armHedge();
+    });
+}
+
+void SingleForward::onReply(ServiceReply reply)
+{
+    if (m_isEnded)
+        return;
+    if (reply.response) {
+        answer(*reply.response);
+        return;
+    }
+    fail(reply.mayHaveRun ? 502 : 503, reply.reason);
+}
+
+void SingleForward::answer(const WireResponse &response)
+{
+    CallerResponse answer;
+    answer.status = response.result_int();
+    const auto connection = response[http::field::connection];
+    for (const auto &field : response) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (!isHopField(name, {connection.data(), connection.size()}))
+            answer.fields.emplace_back(std::string(name), std::string(field.value()));
+    }
+    answer.body = response.body();
+    m_isEnded = true;
+    stopTimers();
+    m_plan.exchange->respond(std::move(answer));
+}
+
+void SingleForward::fail(unsigned status, const std::string &reason)
+{
+    if (m_isEnded)
+        return;
+    m_isEnded = true;
+    stopTimers();
+    logInfo("request_failed",
+            {{"id", m_plan.request->id()},
+             {"route", m_plan.route->name},
+             {"service", m_service},
+             {"reason", reason},
+             {"status", status},
+             {"version", m_plan.routes->config().version},
+             {"elapsed_ms",
+              std::chrono::duration_cast<Milliseconds>(Clock::now() - m_plan.exchange->arrivedAt())
+                  .count()}});
+    if (m_call)
+        m_call->detach();
+    std::optional<Milliseconds> retryAfter;
+    if (status == 503)
+        retryAfter = reason == "no_server" ? serviceReturn : fullReturn;
+    m_plan.exchange->respond(makeRefusal(status, reason, retryAfter));
+}
+
+void SingleForward::callerGone()
+{
+    if (m_isEnded)
+        return;
+    logInfo("caller_gone", {{"id", m_plan.request->id()}, {"route", m_plan.route->name}});
+    m_isEnded = true;
+    stopTimers();
+    m_call->abandon();
+    m_context.timers.after(abandonAfter, [call = m_call] { call->cancel(); });
+}
+
+void SingleForward::stopTimers()
+{
+    m_context.timers.cancel(m_hedgeTimer);
+    m_context.timers.cancel(m_deadlineTimer);
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/forwarding/SingleForward.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gateway/forwarding/ServiceCall.h"
+
+namespace gwt {
+
+/// \brief Passes one request on to one backend server of a service and its answer back.
+class SingleForward : public std::enable_shared_from_this<SingleForward>
+{
+public:
+    SingleForward(ForwardingContext &context, RequestPlan plan, std::string service);
+
+    void start();
+
+private:
+    void onReply(ServiceReply reply);
+    void answer(const WireResponse &response);
+    void fail(unsigned status, const std::string &reason);
+    void armHedge();
+    void callerGone();
+    void stopTimers();
+
+    ForwardingContext &m_context;
+    const RequestPlan m_plan;
+    const std::string m_service;
+    std::shared_ptr<ServiceCall> m_call;
+    bool m_isEnded = false;
+    TimerQueue::Id m_hedgeTimer;
+    TimerQueue::Id m_deadlineTimer;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/policy/HedgeTimer.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "common/LatencyHistogram.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace gwt {
+
+/// \brief When the second send of a leg starts.
+struct HedgeTimerRules
+{
+    double quantile = 0.92; ///< of the route's own leg times
+    double minTargetShare = 0.12; ///< of the route's target, before which no leg is hedged
+    double maxTargetShare = 0.45; ///< after it a second send could no longer make the target
+    std::uint32_t minSamples = 100; ///< below it the upper bound holds
+};
+
+/// \brief Learns the leg times of each route and says how long a leg may be out before a second
+/// one is sent.
+///
+/// Answers the pattern of servers that pause for longer than the target of a query: the second
+/// send must leave early enough to make the target, and rarely enough to fit the budget.
+class HedgeTimer
+{
+public:
+    explicit HedgeTimer(HedgeTimerRules rules = {});
+
+    void note(const std::string &route, Duration legTime);
+    Duration delay(const std::string &route, Duration target) const;
+    /// \brief Median leg time of \a route, or a tenth of \a target while there are few samples.
+    Duration usual(const std::string &route, Duration target) const;
+
+private:
+    HedgeTimerRules m_rules;
+    std::unordered_map<std::string, LatencyHistogram> m_legTimes;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/routing/RouteTable.cpp
@@ -0,0 +1,42 @@
+#include "gateway/routing/RouteTable.h"
+
+#include "common/LowerCase.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+RouteTable::RouteTable(RoutingConfig config)
+    : m_config(std::move(config))
+{
+    for (const Route &route : m_config.routes)
+        m_byHost[lowerCase(route.host)].push_back(&route);
+    for (auto &[host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) {
+            return a->pathPrefix.size() > b->pathPrefix.size();
+        });
+    }
+    for (const ServiceSpec &service : m_config.services)
+        m_services[service.name] = &service;
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_byHost.find(lowerCase(host.substr(0, host.find(':'))));
+    if (routes == m_byHost.end())
+        return nullptr;
+    path = path.substr(0, path.find('?'));
+    for (const Route *route : routes->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const ServiceSpec *RouteTable::service(const std::string &service) const
+{
+    const auto known = m_services.find(service);
+    return known == m_services.end() ? nullptr : known->second;
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/routing/RouteTable.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "common/Random.h"
+#include "gateway/routing/Route.h"
+
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace gwt {
+
+/// \brief Finds the route of a request and the service that gets it.
+///
+/// Shared with the requests in flight, so that each keeps the version that it started with.
+class RouteTable
+{
+public:
+    explicit RouteTable(RoutingConfig config);
+
+    const RoutingConfig &config() const { return m_config; }
+    /// \brief The route of \a host with the longest prefix of \a path; null if there is none.
+    ///
+    /// \a host may carry a port; \a path may carry a query.
+    const Route *find(std::string_view host, std::string_view path) const;
+    /// \brief The specification of \a service; null if the configuration does not name it.
+    const ServiceSpec *service(const std::string &service) const;
+
+private:
+    RoutingConfig m_config;
+    std::map<std::string, std::vector<const Route *>, std::less<>> m_byHost; ///< longest first
+    std::unordered_map<std::string, const ServiceSpec *> m_services;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/routing/WeightedSplit.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gateway/routing/Route.h"
+
+#include <map>
+
+namespace gwt {
+
+/// \brief Deals the requests of each route out to its services in proportion to their weights.
+///
+/// Smooth weighted round robin: shares are exact over any run of requests, not only on average.
+class WeightedSplit
+{
+public:
+    /// \brief The service of the next request of \a route. \pre the route names one at least
+    const std::string &next(const Route &route);
+
+private:
+    struct Credit
+    {
+        double weight = 0;
+        double credit = 0;
+    };
+
+    std::map<std::string, std::map<std::string, Credit>> m_routes; ///< by route, by service
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/http/ClientConnection.cpp
@@ -0,0 +1,253 @@
+#include "http/ClientConnection.h"
+
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+namespace gwt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBytes = 8192; ///< one read; most replies of a shard fit
+constexpr std::size_t maxHeaderBytes = 32768;
+
+// A peer that vanished without a reset is noticed after about three seconds.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+constexpr int unacknowledgedMilliseconds = 3000;
+
+void setProbing(asio::ip::tcp::socket &socket)
+{
+    // A platform without one of these options still has the time-outs of each exchange.
+    error_code ignored;
+    const int handle = socket.native_handle();
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleSeconds, sizeof(int));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds, sizeof(int));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(int));
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof(int));
+}
+
+/// The seconds of "timeout=N" in a Keep-Alive field.
+std::optional<std::chrono::seconds> keepAliveTimeout(std::string_view field)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto position = field.find(key);
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    const char *first = field.data() + position + key.size();
+    int seconds = 0;
+    const auto [end, code] = std::from_chars(first, field.data() + field.size(), seconds);
+    if (code != std::errc() || end == first)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context &context, TimerQueue &timers,
+                                   std::size_t maxBodyBytes)
+    : m_socket(context)
+    , m_timers(timers)
+    , m_maxBodyBytes(maxBodyBytes)
+    , m_lastUsed(Clock::now())
+{ }
+
+void ClientConnection::connect(const Endpoint &remote, Duration timeout, ConnectHandler handler)
+{
+    error_code failure;
+    const auto address = asio::ip::make_address(remote.address, failure);
+    if (failure) {
+        handler(Error{ErrorCode::Unavailable, "connect_failed", "bad address " + remote.address});
+        return;
+    }
+    m_connectTimer = m_timers.after(timeout, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->close();
+    });
+    m_socket.async_connect(
+        {address, remote.port},
+        [self = shared_from_this(), handler = std::move(handler)](const error_code &code) {
+            const bool isTimeout = code == asio::error::operation_aborted;
+            self->m_timers.cancel(self->m_connectTimer);
+            if (code) {
+                self->shut();
+                handler(Error{ErrorCode::Unavailable,
+                              isTimeout ? "connect_timeout" : "connect_failed", code.message()});
+                return;
+            }
+            setProbing(self->m_socket);
+            error_code ignored;
+            self->m_socket.non_blocking(true, ignored);
+            self->m_isOpen = true;
+            self->m_lastUsed = Clock::now();
+            self->read();
+            handler(Done{});
+        });
+}
+
+void ClientConnection::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(maxHeaderBytes);
+    m_parser->body_limit(m_maxBodyBytes);
+    m_parser->skip(m_isHead);
+}
+
+void ClientConnection::exchange(std::string request, bool isHead, ResponseFilter accepts,
+                                ResponseHandler handler)
+{
+    m_request = std::move(request);
+    m_isHead = isHead;
+    m_accepts = std::move(accepts);
+    m_handler = std::move(handler);
+    resetParser();
+    error_code failure;
+    const std::size_t written = m_socket.send(asio::buffer(m_request), 0, failure);
+    if (failure && failure != asio::error::would_block) {
+        // The kernel took no byte of it.
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), text = failure.message()] {
+            self->fail({ErrorCode::Unavailable, "connection_lost", text});
+        });
+        return;
+    }
+    if (written < m_request.size())
+        writeRest(written);
+}
+
+void ClientConnection::writeRest(std::size_t written)
+{
+    m_isWriting = true;
+    asio::async_write(
+        m_socket, asio::buffer(m_request.data() + written, m_request.size() - written),
+        [self = shared_from_this()](const error_code &failure, std::size_t) {
+            self->m_isWriting = false;
+            if (failure)
+                self->fail({ErrorCode::Unknown, "connection_lost", failure.message()});
+        });
+}
+
+void ClientConnection::read()
+{
+    m_socket.async_read_some(
+        m_buffer.prepare(readBytes),
+        [self = shared_from_this()](const error_code &failure, std::size_t count) {
+            self->onRead(failure, count);
+        });
+}
+
+void ClientConnection::onRead(const error_code &failure, std::size_t count)
+{
+    if (!m_isOpen)
+        return;
+    if (failure == asio::error::eof && m_handler && m_parser->need_eof() && m_parser->got_some()) {
+        // A body without a length ends with an orderly close; a reset leaves it incomplete.
+        error_code incomplete;
+        m_parser->put_eof(incomplete);
+        if (!incomplete && m_parser->is_done() && (!m_accepts || m_accepts(m_parser->get()))) {
+            finish();
+            return;
+        }
+    }
+    if (failure) {
+        fail({ErrorCode::Unknown, "connection_lost", failure.message()});
+        return;
+    }
+    m_buffer.commit(count);
+    if (!m_handler) {
+        fail({ErrorCode::Malformed, "bytes_without_request", ""});
+        return;
+    }
+    parse();
+}
+
+void ClientConnection::parse()
+{
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        error_code failure;
+        m_buffer.consume(m_parser->put(m_buffer.data(), failure));
+        if (failure == http::error::need_more)
+            break;
+        if (failure) {
+            fail({ErrorCode::Malformed, "bad_reply", failure.message()});
+            return;
+        }
+    }
+    if (!m_parser->is_done()) {
+        read();
+        return;
+    }
+    if (http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
+        resetParser();
+        parse();
+        return;
+    }
+    if (m_accepts && !m_parser->need_eof() && !m_accepts(m_parser->get())) {
+        resetParser();
+        parse();
+        return;
+    }
+    finish();
+}
+
+void ClientConnection::finish()
+{
+    WireResponse response = m_parser->release();
+    m_parser.reset();
+    m_lastUsed = Clock::now();
+    const ResponseHandler handler = std::exchange(m_handler, nullptr);
+    notePersistence(response);
+    // Bytes beyond the reply, or a request that is not sent whole, leave the stream out of step.
+    const bool isInStep = m_buffer.size() == 0 && !m_isWriting;
+    if (!isInStep || !response.keep_alive() || response.need_eof())
+        shut();
+    else
+        read();
+    handler(std::move(response));
+}
+
+void ClientConnection::notePersistence(const WireResponse &response)
+{
+    const auto field = response.find(http::field::keep_alive);
+    if (field == response.end())
+        return;
+    const auto timeout = keepAliveTimeout({field->value().data(), field->value().size()});
+    if (timeout)
+        m_keptUntil = m_lastUsed + *timeout;
+}
+
+void ClientConnection::fail(const Error &error)
+{
+    const auto self = shared_from_this();
+    const ResponseHandler handler = std::exchange(m_handler, nullptr);
+    const bool wasOpen = m_isOpen;
+    shut();
+    if (handler)
+        handler(error);
+    else if (wasOpen && m_closeHandler)
+        m_closeHandler();
+}
+
+void ClientConnection::close()
+{
+    m_handler = nullptr;
+    shut();
+}
+
+void ClientConnection::shut()
+{
+    m_isOpen = false;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace gwt
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,6 +1,6 @@
 #include "http/HttpConnection.h"
 
-#include "http/internal/LowerCase.h"
+#include "common/LowerCase.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -171,7 +171,7 @@
     auto reply = parser.release();
     response.status = reply.result_int();
     for (const auto &field : reply)
-        response.headers[internal::lowerCase(field.name_string())] = std::string(field.value());
+        response.headers[lowerCase(field.name_string())] = std::string(field.value());
     response.body = std::move(reply.body());
     lastUsed = Clock::now();
     const bool hasSurplus = buffer.size() > 0;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,8 +1,8 @@
 #include "http/HttpServer.h"
 
 #include "common/Listener.h"
+#include "common/LowerCase.h"
 #include "common/Sleep.h"
-#include "http/internal/LowerCase.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -34,7 +34,7 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto &field : message)
-        request.headers[internal::lowerCase(field.name_string())] = std::string(field.value());
+        request.headers[lowerCase(field.name_string())] = std::string(field.value());
     request.body = std::move(message.body());
     return request;
 }
--- a/src/relay/HedgePolicy.h
+++ b/src/relay/HedgePolicy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/LatencyHistogram.h"
+#include "common/LatencyHistogram.h"
 
 #include <map>
 #include <optional>
--- a/src/relay/Relay.h
+++ b/src/relay/Relay.h
@@ -11,7 +11,6 @@
 #include "relay/EjectionPolicy.h"
 #include "relay/ExtraLoadBudget.h"
 #include "relay/HedgePolicy.h"
-#include "relay/LatencyHistogram.h"
 #include "relay/LegEnd.h"
 #include "relay/LegQueue.h"
 #include "relay/OwnerShare.h"
--- /dev/null
+++ b/test/GatewayPolicyTest.cpp
@@ -0,0 +1,195 @@
+#include "gateway/backends/BackendFleet.h"
+#include "gateway/backends/BackendScore.h"
+#include "gateway/forwarding/RecordMerge.h"
+#include "gateway/policy/AnswerPolicy.h"
+#include "gateway/policy/HedgeTimer.h"
+#include "gateway/policy/RepeatBudget.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start{1h};
+
+struct AnswerCase
+{
+    std::string name;
+    QueryProgress progress; ///< shards, answered, open, least share, target, elapsed
+    QueryVerdict expected;
+};
+
+class AnswerPolicyTest : public testing::TestWithParam<AnswerCase>
+{ };
+
+TEST_P(AnswerPolicyTest, decidesByProgressAndTime)
+{
+    EXPECT_EQ(AnswerPolicy(8ms).decide(GetParam().progress), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    OneStragglerAmongManyShards, AnswerPolicyTest,
+    testing::Values(
+        AnswerCase{"complete", {20, 20, 0, 0.9, 150ms, 30ms}, QueryVerdict::Answer},
+        AnswerCase{"waitsForTheRest", {20, 19, 1, 0.9, 150ms, 100ms}, QueryVerdict::Wait},
+        AnswerCase{"answersBeforeTheTarget", {20, 18, 2, 0.9, 150ms, 142ms}, QueryVerdict::Answer},
+        AnswerCase{"tooFewBeforeTheTarget", {20, 17, 3, 0.9, 150ms, 149ms}, QueryVerdict::Wait},
+        AnswerCase{
+            "firstChanceAfterTheTarget", {20, 18, 2, 0.9, 150ms, 400ms}, QueryVerdict::Answer},
+        AnswerCase{"noHope", {20, 10, 7, 0.9, 150ms, 20ms}, QueryVerdict::GiveUp},
+        AnswerCase{"restFailed", {20, 18, 0, 0.9, 150ms, 20ms}, QueryVerdict::Answer},
+        AnswerCase{"nothingAtAll", {20, 0, 0, 0, 150ms, 20ms}, QueryVerdict::GiveUp}),
+    [](const auto &info) { return info.param.name; });
+
+struct ShareCase
+{
+    std::size_t shards;
+    double share;
+    std::size_t expected;
+};
+
+class MinShardsTest : public testing::TestWithParam<ShareCase>
+{ };
+
+TEST_P(MinShardsTest, neverFallsBelowTheShare)
+{
+    EXPECT_EQ(AnswerPolicy::minShards(GetParam().shards, GetParam().share), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Shares, MinShardsTest,
+                         testing::Values(ShareCase{20, 0.9, 18}, ShareCase{20, 0.89, 18},
+                                         ShareCase{20, 0.75, 15}, ShareCase{30, 0.89, 27},
+                                         ShareCase{90, 0.95, 86}, ShareCase{1, 0.1, 1},
+                                         ShareCase{20, 0, 1}, ShareCase{20, 1, 20}));
+
+TEST(RepeatBudgetTest, repeatsStayWithinRatioAndShareOfTheExtra)
+{
+    RepeatBudget budget({0.2, 70, 10s});
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const TimePoint now = start + i * 10ms;
+        budget.countFirst(now);
+        taken += budget.take(now, 7) ? 1 : 0;
+    }
+    EXPECT_LE(taken, static_cast<int>(0.2 * 1000 + 70.0 / 7));
+    EXPECT_GE(taken, static_cast<int>(0.8 * (0.2 * 1000 + 70.0 / 7)));
+}
+
+TEST(RepeatBudgetTest, oldRequestsNoLongerAllowRepeats)
+{
+    RepeatBudget budget({0.2, 0, 10s});
+    for (int i = 0; i < 100; ++i)
+        budget.countFirst(start);
+    EXPECT_TRUE(budget.take(start, 1));
+    EXPECT_FALSE(budget.take(start + 12s, 1));
+}
+
+TEST(HedgeTimerTest, theDelayFollowsTheLegTimesWithinTheTarget)
+{
+    HedgeTimer timer;
+    EXPECT_EQ(timer.delay("r", 100ms), 45ms) << "the upper bound without samples";
+    for (int i = 0; i < 200; ++i)
+        timer.note("r", 20ms);
+    EXPECT_NEAR(std::chrono::duration<double>(timer.delay("r", 100ms)).count(), 0.021, 0.002);
+    EXPECT_EQ(timer.delay("r", 1000ms), 120ms) << "never before a share of the target";
+}
+
+TEST(BackendScoreTest, aServerThatIsSilentNowCostsMoreThanABusyOne)
+{
+    BackendScore score;
+    const Duration busy = score.expected(20ms, 2, 2, 30ms, false, start);
+    const Duration paused = score.expected(20ms, 1, 2, 150ms, false, start);
+    EXPECT_GT(paused, busy);
+}
+
+TEST(BackendScoreTest, slownessIsLearnedAndForgiven)
+{
+    BackendScore score;
+    for (int i = 0; i < 10; ++i)
+        score.note(SendResult::Served, 200ms, 20ms, start);
+    EXPECT_GT(score.slowness(start), 5);
+    EXPECT_LT(score.slowness(start + 3s), 1.5);
+}
+
+TEST(BackendScoreTest, failuresCostAndAServerThatCannotBeReachedIsLeftAlone)
+{
+    BackendScore grey;
+    for (int i = 0; i < 5; ++i)
+        grey.note(SendResult::Failed, 1ms, 20ms, start);
+    EXPECT_GT(grey.expected(20ms, 0, 2, 0ms, false, start), 150ms)
+        << "a server that fails fast must not look fast";
+    BackendScore down;
+    down.note(SendResult::Unreachable, 0ms, 20ms, start);
+    EXPECT_TRUE(down.isPaused(start + 300ms));
+    EXPECT_FALSE(down.isPaused(start + 500ms));
+}
+
+struct ConnectionCase
+{
+    int maxConnections;
+    int fleetSize;
+    int expected;
+};
+
+class ConnectionShareTest : public testing::TestWithParam<ConnectionCase>
+{ };
+
+TEST_P(ConnectionShareTest, theFleetTogetherStaysWithinTheServersLimit)
+{
+    const ConnectionCase &each = GetParam();
+    EXPECT_EQ(connectionShare(each.maxConnections, each.fleetSize), each.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, ConnectionShareTest,
+                         testing::Values(ConnectionCase{26, 7, 3}, ConnectionCase{25, 6, 3},
+                                         ConnectionCase{100, 7, 14}, ConnectionCase{55, 66, 1},
+                                         ConnectionCase{26, 0, 24}, ConnectionCase{0, 7, 1}));
+
+std::string record(char first, char last)
+{
+    std::string bytes(16, 'm');
+    bytes.front() = first;
+    bytes.back() = last;
+    return bytes;
+}
+
+struct MergeCase
+{
+    std::string name;
+    std::vector<std::string> parts;
+    std::size_t count;
+    std::string expected;
+};
+
+class RecordMergeTest : public testing::TestWithParam<MergeCase>
+{ };
+
+TEST_P(RecordMergeTest, theGreatestRecordsComeFirst)
+{
+    const std::vector<std::string_view> parts(GetParam().parts.begin(), GetParam().parts.end());
+    EXPECT_EQ(FixedSizeMerge(16).merge(parts, GetParam().count), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Parts, RecordMergeTest,
+    testing::Values(
+        MergeCase{"none", {}, 5, ""},
+        MergeCase{"fewerThanAsked", {record('a', '1')}, 5, record('a', '1')},
+        MergeCase{"acrossParts",
+                  {record('a', '1') + record('c', '1'), record('b', '1')},
+                  2,
+                  record('c', '1') + record('b', '1')},
+        MergeCase{"equalRecordsAllCount",
+                  {record('c', '1'), record('c', '1') + record('a', '1')},
+                  2,
+                  record('c', '1') + record('c', '1')},
+        MergeCase{"remainderIsNoRecord", {record('a', '1') + "zzz"}, 5, record('a', '1')},
+        MergeCase{
+            "bytesAreUnsigned", {record('a', '1'), record('\xff', '1')}, 1, record('\xff', '1')},
+        MergeCase{"lastByteDecides", {record('a', '1'), record('a', '2')}, 1, record('a', '2')}),
+    [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace gwt
--- /dev/null
+++ b/test/GatewayQueryTest.cpp
@@ -0,0 +1,106 @@
+#include "GatewayFixture.h"
+
+namespace gwt::test {
+namespace {
+
+using GatewayQueryTest = GatewayTest;
+
+std::string record(char first)
+{
+    return std::string(1, first) + std::string(15, '0');
+}
+
+std::string signedPart(const std::string &signature, const std::string &records)
+{
+    return okBody(records, "X-Server-Stamp: " + signature + "\r\n");
+}
+
+TEST_F(GatewayQueryTest, aQueryMergesAllShards)
+{
+    addServer("a", {signedPart("sa", record('1') + record('4'))});
+    addServer("b", {signedPart("sb", record('3'))});
+    addQueryRoute({"a", "b"}, 1);
+    start();
+    const WireResponse response = ask("/all/1");
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), record('4') + record('3'));
+    EXPECT_EQ(fieldOf(response, "X-Missing-Parts"), "0");
+    const std::string parts = fieldOf(response, "X-Part-Stamps");
+    EXPECT_TRUE(parts == "sa, sb" || parts == "sb, sa") << parts;
+}
+
+TEST_F(GatewayQueryTest, aStragglerIsLeftOutJustBeforeTheTargetAndReported)
+{
+    addServer("a", {signedPart("sa", record('1'))});
+    addServer("b", {signedPart("sb", record('3')), 5s});
+    addQueryRoute({"a", "b"}, 0.5);
+    start();
+    const WireResponse response = ask("/all/1");
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), record('1'));
+    EXPECT_EQ(fieldOf(response, "X-Missing-Parts"), "1");
+    EXPECT_EQ(fieldOf(response, "X-Part-Stamps"), "sa");
+}
+
+TEST_F(GatewayQueryTest, aSilentServersShardIsAnsweredByAnotherOne)
+{
+    int requests = 0;
+    const auto script = [&](const ServerRequest &) {
+        return ++requests == 1 ? ScriptedReply{""} : ScriptedReply{signedPart("s", record('1'))};
+    };
+    addServer("a", script);
+    addServer("a", script);
+    addQueryRoute({"a"}, 1);
+    start();
+    EXPECT_EQ(ask("/all/1").result_int(), 200U);
+    EXPECT_EQ(requests, 2);
+}
+
+TEST_F(GatewayQueryTest, aQueryThatCannotReachItsMinimumIsRefusedBeforeAnythingRuns)
+{
+    ScriptedServer &server = addServer("a", {signedPart("sa", record('1'))});
+    addQueryRoute({"a", "b", "c"}, 0.6);
+    start();
+    const WireResponse response = ask("/all/1");
+    EXPECT_EQ(response.result_int(), 503U);
+    EXPECT_FALSE(fieldOf(response, "Retry-After").empty());
+    EXPECT_TRUE(server.requests().empty());
+}
+
+TEST_F(GatewayQueryTest, aFailureWithASignatureIsNoPart)
+{
+    addServer("a", {signedPart("sa", record('1'))});
+    addServer("b", {httpResponse(500, "X-Server-Stamp: sb\r\n", record('9'))});
+    addQueryRoute({"a", "b"}, 0.5);
+    start();
+    const WireResponse response = ask("/all/1");
+    EXPECT_EQ(fieldOf(response, "X-Part-Stamps"), "sa");
+    EXPECT_EQ(response.body(), record('1'));
+}
+
+TEST_F(GatewayQueryTest, whenACallerLeavesEvenTheSendsThatLostARaceAreBrokenOff)
+{
+    // Shard a: the first send is out, the second one wins. Shard b keeps the query open.
+    int requests = 0;
+    const auto raced = [&](const ServerRequest &) {
+        return ++requests == 1 ? ScriptedReply{""} : ScriptedReply{signedPart("s", record('1'))};
+    };
+    ScriptedServer &first = addServer("a", raced);
+    ScriptedServer &second = addServer("a", raced);
+    ScriptedServer &silent = addServer("b", {""});
+    addQueryRoute({"a", "b"}, 1);
+    start();
+    const auto caller = connect();
+    caller->exchange(request("/all/1"), false, nullptr, [](const Outcome<WireResponse> &) {});
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return requests == 2; }, 1s));
+    run(20ms);
+    caller->close();
+    const auto closed = [&] {
+        return first.closedByPeer() + second.closedByPeer() == 1 && silent.closedByPeer() == 1;
+    };
+    EXPECT_TRUE(runUntil(m_context, closed, 1s));
+}
+
+} // namespace
+} // namespace gwt::test
--- /dev/null
+++ b/test/GatewayTest.cpp
@@ -0,0 +1,216 @@
+#include "GatewayFixture.h"
+
+namespace gwt::test {
+namespace {
+
+TEST_F(GatewayTest, withoutAConfigurationItRefusesAndNeverSaysNotFound)
+{
+    const WireResponse response = ask("/one/1");
+    EXPECT_EQ(response.result_int(), 503U);
+    EXPECT_FALSE(fieldOf(response, "Retry-After").empty());
+}
+
+TEST_F(GatewayTest, aRequestIsPassedOnUnchangedAndItsAnswerToo)
+{
+    ScriptedServer &server
+        = addServer("s", {okBody("bytes", stamp + "X-Own: 5\r\nKeep-Alive: timeout=9\r\n")});
+    addSingleRoute(true);
+    start();
+    const WireResponse response = ask("/one/1?q=%20",
+                                      "X-Deadline-Ms: 900\r\nX-Other: 7\r\nConnection: X-Hop\r\n"
+                                      "X-Hop: 1\r\n");
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), "bytes");
+    EXPECT_EQ(fieldOf(response, "X-Own"), "5");
+    EXPECT_EQ(fieldOf(response, "X-Server-Stamp"), "signed");
+    ASSERT_EQ(server.requests().size(), 1U);
+    const ServerRequest &seen = server.requests()[0];
+    EXPECT_EQ(seen.target(), "/one/1?q=%20");
+    EXPECT_EQ(seen["X-Request-Id"], "id-1");
+    EXPECT_EQ(seen["X-Other"], "7");
+    EXPECT_EQ(seen["X-Target-Instance"], "i-1");
+    EXPECT_EQ(seen.count("X-Hop"), 0U);
+    EXPECT_LE(std::stoi(std::string(seen["X-Deadline-Ms"])), 900);
+    EXPECT_GT(std::stoi(std::string(seen["X-Deadline-Ms"])), 500);
+}
+
+TEST_F(GatewayTest, aChunkedBodyArrivesWhole)
+{
+    ScriptedServer &server = addServer("s", {okBody("ok")});
+    addSingleRoute(true);
+    start();
+    const std::string head = "POST /one/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const auto outcome = exchange(head + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    ASSERT_TRUE(isOk(outcome));
+    ASSERT_EQ(server.requests().size(), 1U);
+    EXPECT_EQ(server.requests()[0].body(), "abcde");
+    EXPECT_EQ(server.requests()[0].method_string(), "POST");
+}
+
+struct BadRequestCase
+{
+    std::string name;
+    std::string bytes;
+    unsigned status;
+};
+
+class GatewayBadRequestTest : public GatewayTest, public testing::WithParamInterface<BadRequestCase>
+{ };
+
+TEST_P(GatewayBadRequestTest, isAnsweredAndReachesNoServer)
+{
+    ScriptedServer &server = addServer("s", {okBody("ok")});
+    addSingleRoute(true);
+    m_config.limits.maxHeaderBytes = 1000;
+    m_config.limits.maxBodyBytes = 100;
+    start();
+    const auto outcome = exchange(GetParam().bytes);
+    ASSERT_TRUE(isOk(outcome));
+    EXPECT_EQ(valueOf(outcome).result_int(), GetParam().status);
+    EXPECT_TRUE(server.requests().empty());
+}
+
+const std::string postHead = "POST /one/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, GatewayBadRequestTest,
+    testing::Values(
+        BadRequestCase{"noHttp", "hello there\r\n\r\n", 400},
+        BadRequestCase{"twoLengths", postHead + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                       400},
+        BadRequestCase{"lengthAndChunks",
+                       postHead + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+        BadRequestCase{"badLength", postHead + "Content-Length: x\r\n\r\n", 400},
+        BadRequestCase{"bodyOverTheLimit", postHead + "Content-Length: 101\r\n\r\n", 413},
+        BadRequestCase{"headerOverTheLimit",
+                       postHead + "X-Long: " + std::string(2000, 'a') + "\r\n\r\n", 431},
+        BadRequestCase{"noId", "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+        BadRequestCase{"noRoute", "GET /two/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n",
+                       404}),
+    [](const auto &info) { return info.param.name; });
+
+struct FailureCase
+{
+    std::string name;
+    ScriptedReply reply; ///< of the server that is asked first
+    bool isIdempotent;
+    unsigned status; ///< that the caller gets
+    int runsElsewhere; ///< requests that reach the other server
+};
+
+class GatewayFailureTest : public GatewayTest, public testing::WithParamInterface<FailureCase>
+{ };
+
+TEST_P(GatewayFailureTest, aRequestIsSentAgainOnlyWhereItMayRunAgain)
+{
+    // Whichever server is asked first answers by the case; the other one serves.
+    int requests = 0;
+    const auto script = [&](const ServerRequest &) {
+        return ++requests == 1 ? GetParam().reply : ScriptedReply{okBody("ok")};
+    };
+    addServer("s", script);
+    addServer("s", script);
+    addSingleRoute(GetParam().isIdempotent);
+    start();
+    const WireResponse response = ask("/one/1", "X-Deadline-Ms: 300\r\n");
+    EXPECT_EQ(response.result_int(), GetParam().status);
+    EXPECT_EQ(requests, 1 + GetParam().runsElsewhere);
+    EXPECT_EQ(fieldOf(response, "Retry-After").empty(), response.result_int() != 503);
+}
+
+const std::string notRunField = "X-Not-Executed: 1\r\n";
+const std::string stampedFailure = httpResponse(500, stamp, "failed");
+
+INSTANTIATE_TEST_SUITE_P(
+    FirstServer, GatewayFailureTest,
+    testing::Values(
+        FailureCase{"fullIdempotent", {httpResponse(503, notRunField, "")}, true, 200, 1},
+        FailureCase{"fullOnce", {httpResponse(503, notRunField, "")}, false, 200, 1},
+        FailureCase{"otherServerAtItsAddress", {httpResponse(421, "", "")}, false, 200, 1},
+        FailureCase{"errorIdempotent", {stampedFailure}, true, 200, 1},
+        FailureCase{"errorOnce", {stampedFailure}, false, 500, 0},
+        FailureCase{"cutIdempotent", {"", 0ms, true}, true, 200, 1},
+        FailureCase{"cutOnce", {"", 0ms, true}, false, 502, 0},
+        FailureCase{"truncatedOnce",
+                    {"HTTP/1.1 200 OK\r\n" + stamp + "Content-Length: 9\r\n\r\nabc", 0ms, true},
+                    false,
+                    502,
+                    0},
+        FailureCase{"noHttpIdempotent", {"\x01\x02garbage\r\n\r\n"}, true, 200, 1},
+        FailureCase{"noHttpOnce", {"\x01\x02garbage\r\n\r\n"}, false, 502, 0},
+        FailureCase{"silentOnce", {""}, false, 504, 0},
+        FailureCase{"successWithoutSignatureOnce", {okBody("x", "")}, false, 502, 0}),
+    [](const auto &info) { return info.param.name; });
+
+TEST_F(GatewayTest, aLateExtraAnswerIsNotTakenForTheNextRequest)
+{
+    // The second answer to the first request arrives where the next answer is due.
+    int requests = 0;
+    addServer("s", [&](const ServerRequest &) {
+        const std::string own = "X-Request-Id: id-1\r\n" + stamp;
+        const std::string old = "X-Request-Id: id-0\r\n" + stamp;
+        return ++requests == 1 ? ScriptedReply{okBody("first", own)}
+                               : ScriptedReply{okBody("stray", old) + okBody("second", own)};
+    });
+    addSingleRoute(true);
+    start();
+    EXPECT_EQ(ask("/one/1").body(), "first");
+    EXPECT_EQ(ask("/one/2").body(), "second");
+}
+
+TEST_F(GatewayTest, aBodyWithoutALengthEndsWithItsConnection)
+{
+    addServer("s", {"HTTP/1.1 200 OK\r\n" + stamp + "\r\nwhole", 0ms, true});
+    addSingleRoute(true);
+    start();
+    EXPECT_EQ(ask("/one/1").body(), "whole");
+}
+
+TEST_F(GatewayTest, aDrainingServerGetsNothingNew)
+{
+    ScriptedServer &first = addServer("s", {okBody("a")});
+    ScriptedServer &second = addServer("s", {okBody("b")});
+    addSingleRoute(true);
+    m_entries[0].isDraining = true;
+    start();
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(ask("/one/1").body(), "b");
+    m_core.removeBackend("i-2");
+    EXPECT_EQ(ask("/one/1").result_int(), 503U);
+    EXPECT_TRUE(first.requests().empty());
+    EXPECT_EQ(second.requests().size(), 5U);
+}
+
+TEST_F(GatewayTest, aConfigurationNeverGoesBack)
+{
+    addServer("s", {okBody("new")});
+    addSingleRoute(true);
+    m_config.version = 5;
+    start();
+    RoutingConfig older;
+    older.version = 4;
+    m_core.setConfig(older);
+    EXPECT_EQ(ask("/one/1").body(), "new");
+}
+
+TEST_F(GatewayTest, aDrainingGatewayAnswersAndThenClosesTheConnection)
+{
+    addServer("s", {okBody("ok"), 50ms});
+    addSingleRoute(true);
+    start();
+    const auto caller = connect();
+    std::optional<Outcome<WireResponse>> result;
+    caller->exchange(request("/one/1"), false, nullptr,
+                     [&](Outcome<WireResponse> outcome) { result = std::move(outcome); });
+    run(10ms);
+    m_callers.drain();
+    m_callers.closeIdle();
+    ASSERT_TRUE(runUntil(m_context, [&] { return result.has_value(); }));
+    ASSERT_TRUE(isOk(*result));
+    EXPECT_EQ(fieldOf(valueOf(*result), "Connection"), "close");
+    EXPECT_TRUE(m_callers.isQuiet() || m_callers.connections() <= 1);
+}
+
+} // namespace
+} // namespace gwt::test
--- /dev/null
+++ b/test/KindFeedTest.cpp
@@ -0,0 +1,145 @@
+#include "platform/KindFeed.h"
+#include "ScriptedServer.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using test::httpResponse;
+using test::ScriptedReply;
+using test::ScriptedServer;
+using test::ServerRequest;
+
+/// Writes down what a feed tells, one word each.
+class Recorder : public KindObserver
+{
+public:
+    void onListing(const std::vector<StoreObject> &objects) override
+    {
+        m_told.push_back("listing:" + std::to_string(objects.size()));
+    }
+    void onChange(const StoreObject &object, bool isRemoved) override
+    {
+        m_told.push_back((isRemoved ? "removed:" : "changed:") + object.name);
+    }
+    void onReturn() override { m_told.emplace_back("return"); }
+    const std::vector<std::string> &told() const { return m_told; }
+    bool hasTold(const std::string &what) const
+    {
+        return std::find(m_told.begin(), m_told.end(), what) != m_told.end();
+    }
+
+private:
+    std::vector<std::string> m_told;
+};
+
+ScriptedReply json(const std::string &body, int status = 200)
+{
+    return {httpResponse(status, "", body)};
+}
+
+bool isWatch(const ServerRequest &request)
+{
+    return request.target().find("watch=") != boost::beast::string_view::npos;
+}
+
+const std::string onePage = R"({"items":[{"meta":{"name":"a","revision":3},"spec":{}}],"asOf":5})";
+
+class KindFeedTest : public testing::Test
+{
+protected:
+    void follow(ScriptedServer &server)
+    {
+        m_store = std::make_unique<StoreClient>(m_context, m_timers, server.endpoint());
+        m_feed
+            = std::make_unique<KindFeed>(*m_store, m_timers, m_metrics, "servers", 1ms, m_recorder);
+        m_feed->start();
+    }
+
+    boost::asio::io_context m_context;
+    TimerQueue m_timers{m_context};
+    Metrics m_metrics;
+    Recorder m_recorder;
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<KindFeed> m_feed;
+};
+
+TEST_F(KindFeedTest, pagesAreReadAsOneListing)
+{
+    ScriptedServer server(m_context, m_timers, [](const ServerRequest &request) {
+        if (isWatch(request))
+            return ScriptedReply{};
+        if (request.target() == "/-/objects/servers")
+            return json(R"({"items":[{"meta":{"name":"a"}}],"more":true,"asOf":5})");
+        EXPECT_EQ(request.target(), "/-/objects/servers?after=a");
+        return json(R"({"items":[{"meta":{"name":"b"}}],"more":false,"asOf":6})");
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 3; }));
+    EXPECT_EQ(m_recorder.told(), std::vector<std::string>{"listing:2"});
+    // The watch starts at the first page's revision: a change between the pages is not missed.
+    EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=5&"));
+}
+
+TEST_F(KindFeedTest, aWatchThatIsCutIsFollowedByAListing)
+{
+    // A store that drops its history may let a new watch wait without a word of what it missed.
+    int watches = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (!isWatch(request))
+            return json(onePage);
+        return ++watches == 1 ? ScriptedReply{"", 0ms, true} : ScriptedReply{};
+    });
+    follow(server);
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return m_recorder.told().size() == 3; }, 3s));
+    EXPECT_EQ(m_recorder.told(), (std::vector<std::string>{"listing:1", "return", "listing:1"}));
+}
+
+struct FailureCase
+{
+    std::string name;
+    ScriptedReply reply;
+};
+
+class KindFeedFailureTest : public KindFeedTest, public testing::WithParamInterface<FailureCase>
+{ };
+
+TEST_P(KindFeedFailureTest, theFeedGoesOnAfterAFailedWatch)
+{
+    int watches = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (!isWatch(request))
+            return json(onePage);
+        const std::string removal
+            = R"({"events":[{"removed":true,"object":{"meta":{"name":"a"}}}],"asOf":9})";
+        switch (++watches) {
+        case 1:
+            return GetParam().reply;
+        case 2:
+            return json(removal);
+        default:
+            return ScriptedReply{};
+        }
+    });
+    follow(server);
+    EXPECT_TRUE(test::runUntil(m_context, [&] { return m_recorder.hasTold("removed:a"); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Replies, KindFeedFailureTest,
+                         testing::Values(FailureCase{"unavailable", json("", 503)},
+                                         FailureCase{"rateLimited", json("", 429)},
+                                         FailureCase{"historyGone", json("", 410)},
+                                         FailureCase{"noJson", json("<html>")},
+                                         FailureCase{"noEvents", json("{}")},
+                                         FailureCase{"reset", ScriptedReply{"", 0ms, true}},
+                                         FailureCase{"truncated",
+                                                     ScriptedReply{"HTTP/1.1 200 OK\r\nContent-"
+                                                                   "Length: 90\r\n\r\n{\"ev",
+                                                                   0ms, true}}),
+                         [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace gwt::platform
--- a/test/PagesTest.cpp
+++ b/test/PagesTest.cpp
@@ -53,7 +53,9 @@
     const std::filesystem::path source(GWT_SOURCE_DIR);
     const Names onPage
         = namesIn(read(source / "docs" / GetParam().page), std::regex(GetParam().row));
-    const Names inCode = namesInCode(source / "src", std::regex(GetParam().literal));
+    const std::regex literal(GetParam().literal);
+    Names inCode = namesInCode(source / "src", literal);
+    inCode.merge(namesInCode(source / "platform", literal));
     EXPECT_FALSE(inCode.empty());
     EXPECT_EQ(onPage, inCode);
 }
--- /dev/null
+++ b/test/PlatformDecoderTest.cpp
@@ -0,0 +1,224 @@
+#include "platform/BackendDecoder.h"
+#include "platform/ConfigDecoder.h"
+#include "platform/PlatformSettings.h"
+#include "platform/StoreCodec.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+boost::json::object goodEntry()
+{
+    return {{"service", "s"},       {"address", "10.0.0.1:80"}, {"zone", "z"}, {"version", "v1"},
+            {"slots", 2},           {"state", "ready"},         {"seq", 4},    {"warmupLeftMs", 0},
+            {"born", 1700000000000}};
+}
+
+std::optional<BackendEntry> decode(const boost::json::value &spec)
+{
+    return decodeBackend({"i-1", 3, spec});
+}
+
+TEST(BackendDecoderTest, aCompleteEntryIsRead)
+{
+    const auto entry = decode(goodEntry());
+    ASSERT_TRUE(entry);
+    EXPECT_EQ(entry->id, "i-1");
+    EXPECT_EQ(entry->service, "s");
+    EXPECT_EQ(entry->address, (Endpoint{"10.0.0.1", 80}));
+    EXPECT_EQ(entry->slots, 2);
+    EXPECT_FALSE(entry->isDraining);
+    EXPECT_EQ(entry->incarnation, 1700000000000);
+}
+
+struct ForeignCase
+{
+    std::string name;
+    std::string key;
+    boost::json::value value; ///< null removes the key
+};
+
+class ForeignEntryTest : public testing::TestWithParam<ForeignCase>
+{ };
+
+TEST_P(ForeignEntryTest, anEntryOfAnotherWriterNamesNoServer)
+{
+    boost::json::object spec = goodEntry();
+    if (GetParam().value.is_null())
+        spec.erase(GetParam().key);
+    else
+        spec[GetParam().key] = GetParam().value;
+    EXPECT_FALSE(decode(spec));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, ForeignEntryTest,
+    testing::Values(
+        ForeignCase{"noService", "service", nullptr}, ForeignCase{"serviceIsNumber", "service", 5},
+        ForeignCase{"noAddress", "address", nullptr},
+        ForeignCase{"addressIsName", "address", "host:80"},
+        ForeignCase{"addressWithoutPort", "address", "10.0.0.1"},
+        ForeignCase{"noZone", "zone", nullptr}, ForeignCase{"noSlots", "slots", nullptr},
+        ForeignCase{"slotsIsText", "slots", "2"}, ForeignCase{"negativeSlots", "slots", -1},
+        ForeignCase{"noState", "state", nullptr}, ForeignCase{"unknownState", "state", "gone"},
+        ForeignCase{"stateIsList", "state", boost::json::array{"ready"}}),
+    [](const auto &info) { return info.param.name; });
+
+class ForeignSpecTest : public testing::TestWithParam<std::string>
+{ };
+
+TEST_P(ForeignSpecTest, aSpecThatIsNoEntryIsLeftOut)
+{
+    EXPECT_FALSE(decode(boost::json::parse(GetParam())));
+}
+
+INSTANTIATE_TEST_SUITE_P(Values, ForeignSpecTest,
+                         testing::Values("null", "[]", "{}", "\"text\"", "7", "true"));
+
+TEST(StoreCodecTest, objectsThatCannotBeReadLeaveTheOthers)
+{
+    const auto page = decodePage("{\"items\":[5,{\"meta\":{}},{\"meta\":{\"name\":\"a\"},"
+                                 "\"spec\":\"\xff\xfe\"}],\"more\":true,\"asOf\":9}");
+    ASSERT_TRUE(isOk(page));
+    ASSERT_EQ(valueOf(page).listing.objects.size(), 1U);
+    EXPECT_EQ(valueOf(page).listing.objects[0].name, "a");
+    EXPECT_EQ(valueOf(page).listing.asOf, 9U);
+    EXPECT_TRUE(valueOf(page).hasMore);
+}
+
+class MalformedBodyTest : public testing::TestWithParam<std::string>
+{ };
+
+TEST_P(MalformedBodyTest, isAnErrorAndNotAnEmptyListing)
+{
+    EXPECT_FALSE(isOk(decodePage(GetParam())));
+    EXPECT_FALSE(isOk(decodeChanges(GetParam())));
+}
+
+INSTANTIATE_TEST_SUITE_P(Bodies, MalformedBodyTest,
+                         testing::Values("", "{", "[]", "7", "{}", "{\"items\":{}}",
+                                         "{\"events\":7}", "<html>"));
+
+const std::string goodConfig = R"({"version":7,"routes":[
+    {"name":"r","hostname":"h","pathPrefix":"/p/","routeType":"idempotent","timeoutMs":1000,
+     "targetLatencyMs":50,"priority":1,"gather":["a","b"],"attempts":2,"topK":5,"minShare":0.75},
+    {"name":"q","hostname":"h","pathPrefix":"/q/","routeType":"non_idempotent","timeoutMs":900,
+     "trafficSplit":[{"service":"a","weight":3},{"service":"b","weight":1}],"attempts":1}],
+    "services":[{"name":"a","healthPath":"/h","maxConnections":26}],
+    "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400}})";
+
+TEST(ConfigDecoderTest, aCompleteConfigurationIsRead)
+{
+    const auto decoded = decodeConfig(boost::json::parse(goodConfig));
+    ASSERT_TRUE(isOk(decoded));
+    const RoutingConfig &config = valueOf(decoded);
+    EXPECT_EQ(config.version, 7U);
+    ASSERT_EQ(config.routes.size(), 2U);
+    const Route &query = config.routes[0];
+    EXPECT_TRUE(query.isShardQuery());
+    EXPECT_TRUE(query.isIdempotent);
+    EXPECT_EQ(query.query.shards, (std::vector<std::string>{"a", "b"}));
+    EXPECT_EQ(query.query.topRecords, 5U);
+    EXPECT_EQ(query.target, 50ms);
+    const Route &split = config.routes[1];
+    EXPECT_FALSE(split.isIdempotent);
+    EXPECT_EQ(split.services.size(), 2U);
+    EXPECT_EQ(split.target, 900ms) << "without a target the time-out bounds";
+    EXPECT_EQ(config.services[0].maxConnections, 26);
+    EXPECT_EQ(config.limits.maxBodyBytes, 200U);
+    EXPECT_EQ(config.limits.idleTimeout, 400ms);
+}
+
+class BadConfigTest : public testing::TestWithParam<std::string>
+{ };
+
+TEST_P(BadConfigTest, isRefusedWhole)
+{
+    EXPECT_FALSE(isOk(decodeConfig(boost::json::parse(GetParam()))));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, BadConfigTest,
+    testing::Values("null", "[]", R"({"routes":[]})", R"({"version":"7","routes":[]})",
+                    R"({"version":7})", R"({"version":7,"routes":[5]})",
+                    R"({"version":7,"routes":[{"name":"r"}]})",
+                    R"({"version":7,"routes":[{"name":"r","hostname":"h","pathPrefix":"/"}]})",
+                    R"({"version":7,"routes":[],"services":[{}]})"));
+
+TEST(ConfigDecoderTest, anUnknownKindOfRouteRunsOnceAtMost)
+{
+    const auto decoded = decodeConfig(boost::json::parse(
+        R"({"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","service":"a"}]})"));
+    ASSERT_TRUE(isOk(decoded));
+    EXPECT_FALSE(valueOf(decoded).routes[0].isIdempotent);
+}
+
+const std::string goodSettings = R"(
+nodeName = "front-1"
+zone = "z"
+portRange = [7380, 7395]
+seedNodes = ["10.0.0.2:90"]
+[listen]
+front = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[bounds]
+graceS = 6
+drainMs = 3000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetExtra = 54
+[platform]
+address = "10.0.0.9:82"
+readsPerS = 2000
+[future]
+key = 1
+)";
+
+TEST(PlatformSettingsTest, knownKeysAreReadAndForeignOnesIgnored)
+{
+    const auto parsed = parsePlatformSettings(goodSettings, "node.toml");
+    ASSERT_TRUE(isOk(parsed)) << errorOf(parsed).detail;
+    EXPECT_EQ(valueOf(parsed).hostName, "front-1");
+    EXPECT_EQ(valueOf(parsed).callers, (Endpoint{"10.0.0.1", 80}));
+    EXPECT_EQ(valueOf(parsed).repeatExtra, 54);
+    EXPECT_EQ(valueOf(parsed).stopGrace, 6s);
+}
+
+struct SettingsCase
+{
+    std::string name;
+    std::string from;
+    std::string to;
+    std::string expectedDetail;
+};
+
+class BadSettingsTest : public testing::TestWithParam<SettingsCase>
+{ };
+
+TEST_P(BadSettingsTest, theFaultNamesFileAndKey)
+{
+    std::string text = goodSettings;
+    text.replace(text.find(GetParam().from), GetParam().from.size(), GetParam().to);
+    const auto parsed = parsePlatformSettings(text, "node.toml");
+    ASSERT_FALSE(isOk(parsed));
+    EXPECT_EQ(errorOf(parsed).detail, GetParam().expectedDetail);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Keys, BadSettingsTest,
+    testing::Values(
+        SettingsCase{"noName", "nodeName = \"front-1\"", "",
+                     "node.toml: nodeName: expected a text"},
+        SettingsCase{"badAddress", "10.0.0.1:80\"", "front:80\"",
+                     "node.toml: listen.front: expected IP:PORT"},
+        SettingsCase{"textForNumber", "retryBudgetRatio = 0.2", "retryBudgetRatio = \"a\"",
+                     "node.toml: bounds.retryBudgetRatio: expected a number of zero or more"},
+        SettingsCase{"negative", "graceS = 6", "graceS = -1",
+                     "node.toml: bounds.graceS: expected a whole number of zero or more"}),
+    [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace gwt::platform
