--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -36,16 +36,23 @@
     listeners.readiness = settings.readiness;
     listeners.readinessPath = gwt::platform::readinessPath;
     gwt::GatewayProcess process(context, timers, core, options, listeners, metrics);
-    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, settings.hostName,
-                                     core);
+    gwt::FleetState state(core);
+    const gwt::SharingOptions sharingOptions{{settings.hostName, settings.peer}, settings.seeds};
+    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, sharingOptions.self,
+                                     state);
+    gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
     gwt::platform::SettingsWatch watch(timers, path, settings);
     const auto started = process.start([&watch] { watch.reload(); }, [] {});
     if (!gwt::isOk(started)) {
         gwt::logError("start_failed", {{"detail", gwt::errorOf(started).detail}});
         return exitFailure;
     }
+    const auto shared = sharing.start();
+    if (!gwt::isOk(shared)) {
+        gwt::logError("start_failed", {{"detail", gwt::errorOf(shared).detail}});
+        return exitFailure;
+    }
     watch.start();
-    feed.start();
     context.run();
     return 0;
 }
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Kept free before the target of a query: merging, the way back, and late timers.
-constexpr Milliseconds deliveryTime{8};
 /// Kept free before the caller's deadline, so that the last answer still reaches it.
 constexpr Milliseconds deadlineMargin{15};
 constexpr std::size_t recordBytes = 16;
@@ -47,12 +45,11 @@
     , m_registry(m_options.registryReturnGrace)
     , m_backends(PoolContext{context, timers, names, metrics, m_options.availabilityZone},
                  m_options.repeatBudget)
-    , m_answers(deliveryTime)
     , m_merge(recordBytes)
-    , m_forwarding{timers, m_backends, m_hedges, m_answers, m_merge, names, metrics, m_fleetSize}
+    , m_forwarding{timers, m_backends, m_hedges, m_delivery, m_merge, names, metrics, m_fleetSize}
 { }
 
-void GatewayCore::setConfig(RoutingConfig config)
+void GatewayCore::onConfig(const RoutingConfig &config)
 {
     const std::uint64_t held = m_routes ? m_routes->config().version : 0;
     if (config.version <= held)
@@ -63,12 +60,13 @@
              {"routes", config.routes.size()},
              {"services", config.services.size()}});
     m_limits = config.limits;
-    m_routes = std::make_shared<const RouteTable>(std::move(config));
+    m_routes = std::make_shared<const RouteTable>(config);
     m_backends.setLimits(*m_routes, m_fleetSize);
 }
 
-void GatewayCore::setFleetSize(int size)
+void GatewayCore::onMembers(const std::vector<FleetMember> &members)
 {
+    const int size = static_cast<int>(members.size());
     if (size == m_fleetSize || size < 1)
         return;
     logInfo("fleet_size", {{"processes", size}, {"previous", m_fleetSize}});
@@ -77,23 +75,19 @@
         m_backends.setLimits(*m_routes, m_fleetSize);
 }
 
-void GatewayCore::setBackends(const std::vector<BackendEntry> &entries)
+void GatewayCore::onBackends(const std::vector<BackendEntry> &entries)
 {
     m_hasBackends = true;
     applyBackends(m_registry.replaceAll(entries, Clock::now()));
 }
 
-void GatewayCore::updateBackend(const BackendEntry &entry)
+void GatewayCore::onBackendChange(const BackendChange &change)
 {
-    applyBackends(m_registry.update(entry));
+    applyBackends(change.entry ? m_registry.update(*change.entry)
+                               : m_registry.remove(change.id, Clock::now()));
 }
 
-void GatewayCore::removeBackend(const std::string &id)
-{
-    applyBackends(m_registry.remove(id, Clock::now()));
-}
-
-void GatewayCore::noteRegistryReturn()
+void GatewayCore::onRegistryReturn()
 {
     m_registry.noteReturn(Clock::now());
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -3,11 +3,12 @@
 #include "gateway/GatewayOptions.h"
 #include "gateway/forwarding/ForwardingContext.h"
 #include "gateway/routing/WeightedSplit.h"
+#include "gateway/sharing/FleetState.h"
 
 namespace gwt {
 
 /// \brief Decides on each request of callers, by the configuration and the registered servers.
-class GatewayCore : public RequestHandler
+class GatewayCore : public RequestHandler, public StateObserver
 {
 public:
     GatewayCore(boost::asio::io_context &context, TimerQueue &timers, GatewayOptions options,
@@ -16,15 +17,13 @@
     void handle(std::shared_ptr<CallerExchange> exchange) override;
 
     /// \brief Takes \a config unless a newer version is in force; never goes back.
-    void setConfig(RoutingConfig config);
+    void onConfig(const RoutingConfig &config) override;
     /// \brief Takes a complete listing of the backend servers.
-    void setBackends(const std::vector<BackendEntry> &entries);
-    void updateBackend(const BackendEntry &entry);
-    void removeBackend(const std::string &id);
-    /// \brief The registry of backend servers answers again after an outage.
-    void noteRegistryReturn();
-    /// \brief Processes that share connections and budgets, this one included.
-    void setFleetSize(int size);
+    void onBackends(const std::vector<BackendEntry> &entries) override;
+    void onBackendChange(const BackendChange &change) override;
+    /// \brief Takes the processes that share connections and budgets, this one included.
+    void onMembers(const std::vector<FleetMember> &members) override;
+    void onRegistryReturn() override;
 
     /// \brief True once requests can be served.
     bool isReady() const { return m_routes && m_hasBackends; }
@@ -48,7 +47,7 @@
     BackendRegistry m_registry;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
-    const AnswerPolicy m_answers;
+    DeliveryTime m_delivery;
     const FixedSizeMerge m_merge;
     WeightedSplit m_split;
     ForwardingContext m_forwarding;
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -150,8 +150,8 @@
     if (server->connections() >= m_connectionShare)
         return;
     server->beginConnect();
-    auto connection
-        = std::make_shared<ClientConnection>(m_context.context, m_context.timers, maxReplyBytes);
+    auto connection = std::make_shared<ClientConnection>(
+        m_context.context, m_context.timers, maxReplyBytes, ClientConnection::Probing::Off);
     connection->connect(server->entry().address, connectTimeout,
                         [this, server, connection](const Outcome<Done> &outcome) {
                             server->endConnect();
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/write.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 namespace gwt {
 
 namespace asio = boost::asio;
@@ -48,14 +51,17 @@
 class CallerConnection::Exchange : public CallerExchange
 {
 public:
-    Exchange(std::shared_ptr<CallerConnection> connection, WireRequest request, TimePoint arrivedAt)
+    Exchange(std::shared_ptr<CallerConnection> connection, WireRequest request, TimePoint arrivedAt,
+             Duration transit)
         : m_connection(std::move(connection))
         , m_request(std::move(request))
         , m_arrivedAt(arrivedAt)
+        , m_transit(transit)
     { }
 
     const WireRequest &request() const override { return m_request; }
     TimePoint arrivedAt() const override { return m_arrivedAt; }
+    Duration transit() const override { return m_transit; }
     void respond(CallerResponse response) override
     {
         m_goneHandler = nullptr;
@@ -81,6 +87,7 @@
     std::shared_ptr<CallerConnection> m_connection; ///< null once answered or gone
     WireRequest m_request;
     TimePoint m_arrivedAt;
+    Duration m_transit;
     std::function<void()> m_goneHandler;
 };
 
@@ -210,7 +217,11 @@
 void CallerConnection::dispatch()
 {
     m_context.timers.cancel(m_timeout);
-    m_current = std::make_shared<Exchange>(shared_from_this(), m_parser->release(), m_arrivedAt);
+    const bool isFirst = !m_roundTrip;
+    if (isFirst)
+        m_roundTrip = measureRoundTrip();
+    m_current = std::make_shared<Exchange>(shared_from_this(), m_parser->release(), m_arrivedAt,
+                                           isFirst ? 2 * *m_roundTrip : *m_roundTrip);
     read();
     m_context.handler.handle(m_current);
 }
@@ -277,6 +288,15 @@
         current->leave();
 }
 
+Duration CallerConnection::measureRoundTrip()
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return Duration::zero();
+    return Microseconds(info.tcpi_rtt);
+}
+
 void CallerConnection::close()
 {
     m_isOpen = false;
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -52,6 +52,7 @@
     void onWritten(bool keepAlive);
     void callerGone();
     void close();
+    Duration measureRoundTrip();
 
     boost::asio::ip::tcp::socket m_socket;
     CallerContext &m_context;
@@ -60,6 +61,7 @@
     std::shared_ptr<Exchange> m_current; ///< the request that waits for its answer
     TimerQueue::Id m_timeout;
     TimePoint m_arrivedAt;
+    std::optional<Duration> m_roundTrip; ///< to the caller; measured with the first request
     std::string m_output;
     bool m_isOpen = true;
     bool m_isReading = false;
--- a/src/gateway/callers/CallerExchange.h
+++ b/src/gateway/callers/CallerExchange.h
@@ -27,6 +27,9 @@
     virtual const WireRequest &request() const = 0;
     /// \brief When its first byte was read.
     virtual TimePoint arrivedAt() const = 0;
+    /// \brief Time of the caller that has passed before arrivedAt() or will after the answer: the
+    /// round trip, and that of the connect if it is the connection's first request.
+    virtual Duration transit() const = 0;
     /// \brief Answers the request; only the first call counts.
     virtual void respond(CallerResponse response) = 0;
     /// \brief \a handler runs once if the caller closes its connection before it is answered.
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -4,6 +4,7 @@
 #include "gateway/callers/CallerExchange.h"
 #include "gateway/forwarding/RecordMerge.h"
 #include "gateway/policy/AnswerPolicy.h"
+#include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
 
 namespace gwt {
@@ -14,7 +15,7 @@
     TimerQueue &timers;
     BackendFleet &backends;
     HedgeTimer &hedges;
-    const AnswerPolicy &answers;
+    DeliveryTime &delivery;
     const RecordMerge &merge;
     const HeaderNames &names;
     Metrics &metrics;
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -34,6 +34,7 @@
     progress.minShare = m_plan.route->query.minShare;
     progress.target = m_plan.route->target;
     progress.elapsed = elapsed();
+    progress.reserved = m_reserved;
     return progress;
 }
 
@@ -56,9 +57,10 @@
     m_plan.exchange->onCallerGone([self] { self->callerGone(); });
     m_deadlineTimer
         = m_context.timers.at(m_plan.deadline, [self] { self->giveUp(504, "deadline"); });
-    const Duration cutoff = m_context.answers.cutoff(m_plan.route->target);
-    m_cutoffTimer
-        = m_context.timers.at(m_plan.exchange->arrivedAt() + cutoff, [self] { self->decide(); });
+    m_reserved = m_context.delivery.estimate() + m_plan.exchange->transit();
+    m_cutoff
+        = m_plan.exchange->arrivedAt() + AnswerPolicy::cutoff(m_plan.route->target, m_reserved);
+    m_cutoffTimer = m_context.timers.at(m_cutoff, [self] { self->decide(); });
     armHedge(m_context.hedges.delay(m_plan.route->name, m_plan.route->target));
     m_isStarting = true;
     m_open = reachable.size();
@@ -92,7 +94,7 @@
 {
     if (m_isEnded)
         return;
-    switch (m_context.answers.decide(progress())) {
+    switch (AnswerPolicy::decide(progress())) {
     case QueryVerdict::Wait:
         return;
     case QueryVerdict::Answer:
@@ -136,9 +138,13 @@
     response.fields.emplace_back(m_context.names.partSignatures, std::move(signatures));
     response.fields.emplace_back(m_context.names.missingParts, std::to_string(missing));
     response.body = m_context.merge.merge(parts, query.topRecords);
+    const bool wasDue = m_open > 0;
     const auto exchange = m_plan.exchange;
     end();
     exchange->respond(std::move(response));
+    const Duration lateness = Clock::now() - m_cutoff;
+    if (wasDue && lateness < m_plan.route->target / 2)
+        m_context.delivery.note(lateness);
 }
 
 void ShardQueryRun::refuse(std::size_t reachable)
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -42,6 +42,8 @@
     bool m_isStarting = false;
     bool m_isEnded = false;
     bool m_mayHaveRun = false;
+    Duration m_reserved{0}; ///< of the target, for everything but the backend servers
+    TimePoint m_cutoff; ///< when an answer with the minimum coverage is due
     TimerQueue::Id m_hedgeTimer;
     TimerQueue::Id m_cutoffTimer;
     TimerQueue::Id m_deadlineTimer;
--- a/src/gateway/policy/AnswerPolicy.cpp
+++ b/src/gateway/policy/AnswerPolicy.cpp
@@ -7,33 +7,29 @@
 namespace {
 
 constexpr double rounding = 1e-9; ///< keeps 0.9 of 20 at 18 despite binary fractions
-constexpr int maxDeliveryShare = 3; ///< the delivery time takes a third of the target at most
+constexpr int maxReservedShare = 2; ///< half of the target is left for the backend servers
 
 } // namespace
 
-AnswerPolicy::AnswerPolicy(Duration deliveryTime)
-    : m_deliveryTime(deliveryTime)
-{ }
-
 std::size_t AnswerPolicy::minShards(std::size_t shards, double minShare)
 {
     const double least = std::ceil(static_cast<double>(shards) * minShare - rounding);
     return std::max<std::size_t>(1, static_cast<std::size_t>(std::max(0.0, least)));
 }
 
-Duration AnswerPolicy::cutoff(Duration target) const
+Duration AnswerPolicy::cutoff(Duration target, Duration reserved)
 {
-    return target - std::min(m_deliveryTime, target / maxDeliveryShare);
+    return target - std::min(reserved, target / maxReservedShare);
 }
 
-QueryVerdict AnswerPolicy::decide(const QueryProgress &progress) const
+QueryVerdict AnswerPolicy::decide(const QueryProgress &progress)
 {
     const std::size_t least = minShards(progress.shards, progress.minShare);
     if (progress.answered + progress.open < least)
         return QueryVerdict::GiveUp;
     if (progress.open == 0)
         return QueryVerdict::Answer;
-    const bool isDue = progress.elapsed >= cutoff(progress.target);
+    const bool isDue = progress.elapsed >= cutoff(progress.target, progress.reserved);
     return isDue && progress.answered >= least ? QueryVerdict::Answer : QueryVerdict::Wait;
 }
 
--- a/src/gateway/policy/AnswerPolicy.h
+++ b/src/gateway/policy/AnswerPolicy.h
@@ -15,6 +15,7 @@
     double minShare = 1; ///< of the shards, below which an answer is a failure
     Duration target{0}; ///< within which an answer has its full worth
     Duration elapsed{0}; ///< since the query arrived
+    Duration reserved{0}; ///< of the target, for the caller's way and for writing the answer
 };
 
 enum class QueryVerdict {
@@ -30,17 +31,11 @@
 class AnswerPolicy
 {
 public:
-    /// \brief \a deliveryTime is kept free before the target for merging and the way to the caller.
-    explicit AnswerPolicy(Duration deliveryTime);
-
-    QueryVerdict decide(const QueryProgress &progress) const;
+    static QueryVerdict decide(const QueryProgress &progress);
     /// \brief Time since arrival at which a query with the minimum coverage is answered.
-    Duration cutoff(Duration target) const;
+    static Duration cutoff(Duration target, Duration reserved);
     /// \brief Fewest shards that make an answer.
     static std::size_t minShards(std::size_t shards, double minShare);
-
-private:
-    const Duration m_deliveryTime;
 };
 
 } // namespace gwt
--- /dev/null
+++ b/src/gateway/policy/DeliveryTime.cpp
@@ -0,0 +1,11 @@
+#include "gateway/policy/DeliveryTime.h"
+
+namespace gwt {
+
+void DeliveryTime::note(Duration lateness)
+{
+    const auto decayed = std::chrono::duration_cast<Duration>(m_peak * s_decay);
+    m_peak = std::max(decayed, lateness);
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/sharing/FleetMember.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "common/Endpoint.h"
+
+#include <string>
+
+namespace gwt {
+
+/// \brief A gateway process of the fleet.
+struct FleetMember
+{
+    std::string name;
+    Endpoint peer; ///< where other gateway processes reach it
+
+    bool operator==(const FleetMember &) const = default;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/sharing/SourceTree.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "common/Time.h"
+#include "gateway/sharing/FleetMember.h"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace gwt {
+
+/// \brief Who learns of changes from whom, so that calls to the registry do not grow with the
+/// fleet; pure decision code.
+///
+/// All members in one order that each works out alike. The first few follow the registry. The
+/// others ask members of the level before them, each level \c fanOut times as large; each has
+/// several sources, so that one that is cut off does no harm. Members that do not answer are left
+/// out for a while, and the ones after them move up.
+class SourceTree
+{
+public:
+    static constexpr std::size_t s_watchers = 3; ///< members that follow the registry
+    static constexpr std::size_t s_fanOut = 32; ///< members that ask one source, on average
+    static constexpr Duration s_exclusion = std::chrono::seconds(4); ///< of a silent member
+
+    explicit SourceTree(std::string self);
+
+    void setMembers(const std::vector<FleetMember> &members);
+    /// \brief True if this process follows the registry itself.
+    bool isWatcher(TimePoint now) const;
+    /// \brief The members that this process asks, in turn; empty for a watcher.
+    std::vector<FleetMember> sources(TimePoint now) const;
+    /// \brief The first members other than this process, whoever follows the registry.
+    std::vector<FleetMember> others(TimePoint now) const;
+    void noteSilent(const std::string &member, TimePoint now);
+    void noteAnswer(const std::string &member) { m_excludedUntil.erase(member); }
+
+private:
+    std::vector<const FleetMember *> present(TimePoint now) const;
+
+    const std::string m_self;
+    std::vector<FleetMember> m_ordered;
+    std::map<std::string, TimePoint> m_excludedUntil;
+};
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -0,0 +1,156 @@
+#include "gateway/sharing/StateSharing.h"
+
+#include "common/Log.h"
+#include "common/Sleep.h"
+#include "peer/PeerCodec.h"
+
+namespace gwt {
+
+namespace {
+
+const std::string statePath = "/gateway/state";
+const std::string requestId = "state";
+
+constexpr Milliseconds connectTimeout{300};
+/// One poll waits this long for news, so that with three sources in turn a cut one delays a change
+/// by no more.
+constexpr Milliseconds pollWait{700};
+/// A source that answers later than its wait and this is taken as silent.
+constexpr Milliseconds replySlack{500};
+/// Pause of a watcher between looks at its place among the members.
+constexpr Milliseconds watchCheck{500};
+/// After the start, the time in which a source must have proved to be current.
+constexpr Milliseconds startGrace{1500};
+/// A source that was current is relied on by others for this long after its last reply.
+constexpr Milliseconds currentFor{3000};
+/// After a change, so that changes in quick succession travel together.
+constexpr Milliseconds gatherPause{30};
+
+} // namespace
+
+StateSharing::StateSharing(asio::io_context &context, SharingOptions options, FleetState &state,
+                           RegistryFeed &feed, Metrics &metrics)
+    : m_options(std::move(options))
+    , m_executor(context.get_executor())
+    , m_state(state)
+    , m_feed(feed)
+    , m_metrics(metrics)
+    , m_tree(m_options.self.name)
+    , m_client(m_executor, connectTimeout)
+    , m_server(m_executor)
+{ }
+
+Outcome<Endpoint> StateSharing::start()
+{
+    std::function<Task<wire::FleetStateReply>(wire::FleetStateRequest, PeerRequest)> handler
+        = [this](wire::FleetStateRequest request, PeerRequest raw) {
+              return serve(std::move(request), std::move(raw));
+          };
+    m_server.route(statePath, peerHandler(std::move(handler)));
+    Outcome<Endpoint> bound = m_server.listen(m_options.self.peer);
+    if (!isOk(bound))
+        return bound;
+    m_state.onNews([this] {
+        m_tree.setMembers(m_state.members());
+        for (asio::steady_timer &waiter : m_waiters)
+            waiter.cancel();
+    });
+    m_feed.join([this] { m_hasJoined = true; });
+    spawn(m_executor, run());
+    return bound;
+}
+
+bool StateSharing::isCurrent(TimePoint now) const
+{
+    return (m_isWatching && m_feed.isCurrent()) || now < m_currentUntil;
+}
+
+std::vector<FleetMember> StateSharing::sources(TimePoint now) const
+{
+    std::vector<FleetMember> sources = m_tree.sources(now);
+    if (!sources.empty() || m_feed.isCurrent())
+        return sources;
+    // A watcher that has lost the registry asks the other watchers.
+    sources = m_tree.others(now);
+    if (!sources.empty())
+        return sources;
+    for (const Endpoint &seed : m_options.seeds) {
+        if (seed != m_options.self.peer)
+            sources.push_back({toString(seed), seed});
+    }
+    return sources;
+}
+
+void StateSharing::setWatching(bool isWatching)
+{
+    if (isWatching == m_isWatching)
+        return;
+    m_isWatching = isWatching;
+    logInfo("registry_watch",
+            {{"is_watcher", isWatching ? "yes" : "no"}, {"members", m_state.members().size()}});
+    if (isWatching)
+        m_feed.follow();
+    else
+        m_feed.rest();
+}
+
+Task<void> StateSharing::run()
+{
+    while (!m_hasJoined)
+        co_await sleepFor(gatherPause);
+    m_currentUntil = std::max(m_currentUntil, Clock::now() + startGrace);
+    for (;;) {
+        const TimePoint now = Clock::now();
+        const std::vector<FleetMember> known = sources(now);
+        const bool isLost = now >= m_currentUntil && !known.empty();
+        // Without a source that is current, the registry itself is asked until there is one.
+        setWatching(m_tree.isWatcher(now) || isLost);
+        if (known.empty()) {
+            co_await sleepFor(watchCheck);
+            continue;
+        }
+        const FleetMember source = known[m_turn++ % known.size()];
+        const bool hasAnswered = co_await askOne(source);
+        co_await sleepFor(hasAnswered ? gatherPause : Milliseconds(200));
+    }
+}
+
+Task<bool> StateSharing::askOne(FleetMember source)
+{
+    const wire::FleetStateRequest request = m_state.request(pollWait);
+    const TimePoint deadline = Clock::now() + pollWait + replySlack;
+    const CancelToken cancel;
+    const auto reply = co_await callPeer<wire::FleetStateReply>(
+        m_client, source.peer, statePath, request, requestId, deadline, cancel);
+    const TimePoint now = Clock::now();
+    if (!isOk(reply)) {
+        logInfo("source_silent", {{"source", source.name}, {"reason", errorOf(reply).reason}});
+        m_tree.noteSilent(source.name, now);
+        co_return false;
+    }
+    m_tree.noteAnswer(source.name);
+    m_state.take(valueOf(reply), now);
+    if (valueOf(reply).is_current())
+        m_currentUntil = now + currentFor;
+    co_return true;
+}
+
+Task<void> StateSharing::waitForNews(Duration limit)
+{
+    m_waiters.emplace_back(m_executor, limit);
+    const auto waiter = std::prev(m_waiters.end());
+    co_await waiter->async_wait(asTuple);
+    m_waiters.erase(waiter);
+}
+
+Task<wire::FleetStateReply> StateSharing::serve(wire::FleetStateRequest request, PeerRequest)
+{
+    if (!m_state.hasNews(request)) {
+        const Milliseconds asked(request.wait_ms());
+        co_await waitForNews(std::min<Duration>(asked, pollWait));
+    }
+    const TimePoint now = Clock::now();
+    co_return m_state.answer(request, isCurrent(now), now);
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/sharing/StateSharing.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "common/Metrics.h"
+#include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/RegistryFeed.h"
+#include "gateway/sharing/SourceTree.h"
+#include "peer/Peer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+
+namespace gwt {
+
+/// \brief Addresses of this process among the others.
+struct SharingOptions
+{
+    FleetMember self;
+    std::vector<Endpoint> seeds; ///< asked while no members are known
+};
+
+/// \brief Keeps a FleetState up to date: by the registry for a few processes, by these for the
+/// others; and serves it to the processes that ask.
+class StateSharing
+{
+public:
+    StateSharing(boost::asio::io_context &context, SharingOptions options, FleetState &state,
+                 RegistryFeed &feed, Metrics &metrics);
+
+    /// \brief Errors: Unavailable "listen_failed".
+    Outcome<Endpoint> start();
+
+private:
+    Task<void> run();
+    Task<bool> askOne(FleetMember source);
+    Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
+    Task<void> waitForNews(Duration limit);
+    std::vector<FleetMember> sources(TimePoint now) const;
+    bool isCurrent(TimePoint now) const;
+    void setWatching(bool isWatching);
+
+    const SharingOptions m_options;
+    const Executor m_executor;
+    FleetState &m_state;
+    RegistryFeed &m_feed;
+    Metrics &m_metrics;
+    SourceTree m_tree;
+    PeerClient m_client;
+    PeerServer m_server;
+    std::list<asio::steady_timer> m_waiters; ///< requests that wait for news
+    bool m_isWatching = false;
+    bool m_hasJoined = false;
+    std::size_t m_turn = 0;
+    TimePoint m_currentUntil; ///< by the last reply of a current source
+};
+
+} // namespace gwt
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -54,10 +54,11 @@
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &context, TimerQueue &timers,
-                                   std::size_t maxBodyBytes)
+                                   std::size_t maxBodyBytes, Probing probing)
     : m_socket(context)
     , m_timers(timers)
     , m_maxBodyBytes(maxBodyBytes)
+    , m_probing(probing)
     , m_lastUsed(Clock::now())
 { }
 
@@ -84,7 +85,8 @@
                               isTimeout ? "connect_timeout" : "connect_failed", code.message()});
                 return;
             }
-            setProbing(self->m_socket);
+            if (self->m_probing == Probing::On)
+                setProbing(self->m_socket);
             error_code ignored;
             self->m_socket.non_blocking(true, ignored);
             self->m_isOpen = true;
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -35,8 +35,14 @@
     /// \brief Called once when an idle connection has become unusable.
     using CloseHandler = std::function<void()>;
 
-    ClientConnection(boost::asio::io_context &context, TimerQueue &timers,
-                     std::size_t maxBodyBytes);
+    /// \brief Whether the kernel probes the connection while nothing is sent.
+    ///
+    /// Probes notice a peer that vanished; they cost six system calls at the connect, which a
+    /// connection whose exchanges all have short time-outs can do without.
+    enum class Probing { On, Off };
+
+    ClientConnection(boost::asio::io_context &context, TimerQueue &timers, std::size_t maxBodyBytes,
+                     Probing probing);
 
     /// \brief Connects; Errors: Unavailable "connect_failed" or "connect_timeout".
     void connect(const Endpoint &remote, Duration timeout, ConnectHandler handler);
@@ -74,6 +80,7 @@
     boost::asio::ip::tcp::socket m_socket;
     TimerQueue &m_timers;
     const std::size_t m_maxBodyBytes;
+    const Probing m_probing;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_request;
--- a/test/GatewayFixture.h
+++ b/test/GatewayFixture.h
@@ -89,13 +89,14 @@
             if (!isKnown)
                 m_config.services.push_back({entry.service, "/health", 50});
         }
-        m_core.setConfig(m_config);
-        m_core.setBackends(m_entries);
+        m_core.onConfig(m_config);
+        m_core.onBackends(m_entries);
     }
 
     std::shared_ptr<ClientConnection> connect()
     {
-        auto caller = std::make_shared<ClientConnection>(m_context, m_timers, 1U << 20U);
+        auto caller = std::make_shared<ClientConnection>(m_context, m_timers, 1U << 20U,
+                                                         ClientConnection::Probing::Off);
         bool isOpen = false;
         caller->connect(m_entry, 1s, [&](const Outcome<Done> &) { isOpen = true; });
         runUntil(m_context, [&] { return isOpen; });
--- a/test/GatewayPolicyTest.cpp
+++ b/test/GatewayPolicyTest.cpp
@@ -2,6 +2,7 @@
 #include "gateway/backends/BackendScore.h"
 #include "gateway/forwarding/RecordMerge.h"
 #include "gateway/policy/AnswerPolicy.h"
+#include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
 #include "gateway/policy/RepeatBudget.h"
 
@@ -17,7 +18,7 @@
 struct AnswerCase
 {
     std::string name;
-    QueryProgress progress; ///< shards, answered, open, least share, target, elapsed
+    QueryProgress progress; ///< in the order of its members
     QueryVerdict expected;
 };
 
@@ -26,23 +27,37 @@
 
 TEST_P(AnswerPolicyTest, decidesByProgressAndTime)
 {
-    EXPECT_EQ(AnswerPolicy(8ms).decide(GetParam().progress), GetParam().expected);
+    EXPECT_EQ(AnswerPolicy::decide(GetParam().progress), GetParam().expected);
 }
 
 INSTANTIATE_TEST_SUITE_P(
     OneStragglerAmongManyShards, AnswerPolicyTest,
     testing::Values(
-        AnswerCase{"complete", {20, 20, 0, 0.9, 150ms, 30ms}, QueryVerdict::Answer},
-        AnswerCase{"waitsForTheRest", {20, 19, 1, 0.9, 150ms, 100ms}, QueryVerdict::Wait},
-        AnswerCase{"answersBeforeTheTarget", {20, 18, 2, 0.9, 150ms, 142ms}, QueryVerdict::Answer},
-        AnswerCase{"tooFewBeforeTheTarget", {20, 17, 3, 0.9, 150ms, 149ms}, QueryVerdict::Wait},
+        AnswerCase{"complete", {20, 20, 0, 0.9, 150ms, 30ms, 8ms}, QueryVerdict::Answer},
+        AnswerCase{"waitsForTheRest", {20, 19, 1, 0.9, 150ms, 100ms, 8ms}, QueryVerdict::Wait},
         AnswerCase{
-            "firstChanceAfterTheTarget", {20, 18, 2, 0.9, 150ms, 400ms}, QueryVerdict::Answer},
-        AnswerCase{"noHope", {20, 10, 7, 0.9, 150ms, 20ms}, QueryVerdict::GiveUp},
-        AnswerCase{"restFailed", {20, 18, 0, 0.9, 150ms, 20ms}, QueryVerdict::Answer},
-        AnswerCase{"nothingAtAll", {20, 0, 0, 0, 150ms, 20ms}, QueryVerdict::GiveUp}),
+            "answersBeforeTheTarget", {20, 18, 2, 0.9, 150ms, 142ms, 8ms}, QueryVerdict::Answer},
+        AnswerCase{
+            "tooFewBeforeTheTarget", {20, 17, 3, 0.9, 150ms, 149ms, 8ms}, QueryVerdict::Wait},
+        AnswerCase{
+            "firstChanceAfterTheTarget", {20, 18, 2, 0.9, 150ms, 400ms, 8ms}, QueryVerdict::Answer},
+        AnswerCase{"noHope", {20, 10, 7, 0.9, 150ms, 20ms, 8ms}, QueryVerdict::GiveUp},
+        AnswerCase{"restFailed", {20, 18, 0, 0.9, 150ms, 20ms, 8ms}, QueryVerdict::Answer},
+        AnswerCase{"nothingAtAll", {20, 0, 0, 0, 150ms, 20ms, 8ms}, QueryVerdict::GiveUp}),
     [](const auto &info) { return info.param.name; });
 
+TEST(DeliveryTimeTest, theReserveFollowsTheSlowestRecentAnswerAndShrinksAgain)
+{
+    DeliveryTime delivery;
+    const Duration calm = delivery.estimate();
+    delivery.note(30ms);
+    delivery.note(1ms);
+    EXPECT_GT(delivery.estimate(), calm + 25ms);
+    for (int i = 0; i < 60; ++i)
+        delivery.note(1ms);
+    EXPECT_LT(delivery.estimate(), calm + 3ms);
+}
+
 struct ShareCase
 {
     std::size_t shards;
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -176,7 +176,7 @@
     start();
     for (int i = 0; i < 5; ++i)
         EXPECT_EQ(ask("/one/1").body(), "b");
-    m_core.removeBackend("i-2");
+    m_core.onBackendChange({"i-2", std::nullopt});
     EXPECT_EQ(ask("/one/1").result_int(), 503U);
     EXPECT_TRUE(first.requests().empty());
     EXPECT_EQ(second.requests().size(), 5U);
@@ -190,7 +190,7 @@
     start();
     RoutingConfig older;
     older.version = 4;
-    m_core.setConfig(older);
+    m_core.onConfig(older);
     EXPECT_EQ(ask("/one/1").body(), "new");
 }
 
--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -16,11 +16,11 @@
 class Recorder : public KindObserver
 {
 public:
-    void onListing(const std::vector<StoreObject> &objects) override
+    void onListing(const std::vector<StoreObject> &objects, std::uint64_t) override
     {
         m_told.push_back("listing:" + std::to_string(objects.size()));
     }
-    void onChange(const StoreObject &object, bool isRemoved) override
+    void onChange(const StoreObject &object, bool isRemoved, std::uint64_t) override
     {
         m_told.push_back((isRemoved ? "removed:" : "changed:") + object.name);
     }
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -164,6 +164,7 @@
 [listen]
 front = "10.0.0.1:80"
 ready = "10.0.0.1:81"
+controlPlane = "10.0.0.1:90"
 [bounds]
 graceS = 6
 drainMs = 3000
@@ -183,6 +184,7 @@
     ASSERT_TRUE(isOk(parsed)) << errorOf(parsed).detail;
     EXPECT_EQ(valueOf(parsed).hostName, "front-1");
     EXPECT_EQ(valueOf(parsed).callers, (Endpoint{"10.0.0.1", 80}));
+    EXPECT_EQ(valueOf(parsed).seeds, std::vector<Endpoint>{Endpoint("10.0.0.2", 90)});
     EXPECT_EQ(valueOf(parsed).repeatExtra, 54);
     EXPECT_EQ(valueOf(parsed).stopGrace, 6s);
 }
@@ -214,6 +216,8 @@
                      "node.toml: nodeName: expected a text"},
         SettingsCase{"badAddress", "10.0.0.1:80\"", "front:80\"",
                      "node.toml: listen.front: expected IP:PORT"},
+        SettingsCase{"badSeed", "[\"10.0.0.2:90\"]", "[5]",
+                     "node.toml: seedNodes: expected a list of IP:PORT"},
         SettingsCase{"textForNumber", "retryBudgetRatio = 0.2", "retryBudgetRatio = \"a\"",
                      "node.toml: bounds.retryBudgetRatio: expected a number of zero or more"},
         SettingsCase{"negative", "graceS = 6", "graceS = -1",
