--- a/src/gateway/policy/DeliveryTime.h
+++ b/src/gateway/policy/DeliveryTime.h
@@ -19,7 +19,7 @@
 private:
     /// The way through the kernel and the platform's balancer, which no process can measure.
     static constexpr Duration s_base = Milliseconds(4);
-    static constexpr double s_decay = 0.93; ///< of the peak with each answer: half after ten
+    static constexpr double s_decay = 0.8; ///< of the peak with each answer: half after three
 
     Duration m_peak{0};
 };
--- a/src/gateway/sharing/SourceTree.cpp
+++ b/src/gateway/sharing/SourceTree.cpp
@@ -30,8 +30,8 @@
 {
     std::vector<const FleetMember *> members;
     for (const FleetMember &member : m_ordered) {
-        const auto excluded = m_excludedUntil.find(member.name);
-        if (excluded == m_excludedUntil.end() || excluded->second <= now)
+        const auto excluded = m_exclusions.find(member.name);
+        if (excluded == m_exclusions.end() || excluded->second.until <= now)
             members.push_back(&member);
     }
     return members;
@@ -77,7 +77,9 @@
 
 void SourceTree::noteSilent(const std::string &member, TimePoint now)
 {
-    m_excludedUntil[member] = now + s_exclusion;
+    Exclusion &exclusion = m_exclusions[member];
+    exclusion.length = std::clamp(exclusion.length * 2, s_firstExclusion, s_longestExclusion);
+    exclusion.until = now + exclusion.length;
 }
 
 } // namespace gwt
--- a/src/gateway/sharing/SourceTree.h
+++ b/src/gateway/sharing/SourceTree.h
@@ -21,7 +21,10 @@
 public:
     static constexpr std::size_t s_watchers = 3; ///< members that follow the registry
     static constexpr std::size_t s_fanOut = 32; ///< members that ask one source, on average
-    static constexpr Duration s_exclusion = std::chrono::seconds(4); ///< of a silent member
+    /// Exclusion of a silent member; doubles with each silence in a row. A member that has just
+    /// started is tried again soon, one that is gone seldom.
+    static constexpr Duration s_firstExclusion = Milliseconds(250);
+    static constexpr Duration s_longestExclusion = std::chrono::seconds(8);
 
     explicit SourceTree(std::string self);
 
@@ -33,14 +36,20 @@
     /// \brief The first members other than this process, whoever follows the registry.
     std::vector<FleetMember> others(TimePoint now) const;
     void noteSilent(const std::string &member, TimePoint now);
-    void noteAnswer(const std::string &member) { m_excludedUntil.erase(member); }
+    void noteAnswer(const std::string &member) { m_exclusions.erase(member); }
 
 private:
+    struct Exclusion
+    {
+        TimePoint until;
+        Duration length{0};
+    };
+
     std::vector<const FleetMember *> present(TimePoint now) const;
 
     const std::string m_self;
     std::vector<FleetMember> m_ordered;
-    std::map<std::string, TimePoint> m_excludedUntil;
+    std::map<std::string, Exclusion> m_exclusions;
 };
 
 } // namespace gwt
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -19,10 +19,16 @@
 constexpr Milliseconds replySlack{500};
 /// Pause of a watcher between looks at its place among the members.
 constexpr Milliseconds watchCheck{500};
-/// After the start, the time in which a source must have proved to be current.
-constexpr Milliseconds startGrace{1500};
+/// After the start, the time in which a source must have proved to be current; the registry is
+/// asked then, for a process without a configuration refuses everything.
+constexpr Milliseconds startGrace{300};
 /// A source that was current is relied on by others for this long after its last reply.
 constexpr Milliseconds currentFor{3000};
+/// Up to this many members each asks the registry as it starts: all are asked for news too late if
+/// the whole fleet has just started, and the calls are few.
+constexpr std::size_t smallFleet = 12;
+/// After a source that did not answer.
+constexpr Milliseconds silencePause{50};
 /// After a change, so that changes in quick succession travel together.
 constexpr Milliseconds gatherPause{30};
 
@@ -98,7 +104,8 @@
 {
     while (!m_hasJoined)
         co_await sleepFor(gatherPause);
-    m_currentUntil = std::max(m_currentUntil, Clock::now() + startGrace);
+    if (m_state.members().size() > smallFleet)
+        m_currentUntil = std::max(m_currentUntil, Clock::now() + startGrace);
     for (;;) {
         const TimePoint now = Clock::now();
         const std::vector<FleetMember> known = sources(now);
@@ -111,7 +118,7 @@
         }
         const FleetMember source = known[m_turn++ % known.size()];
         const bool hasAnswered = co_await askOne(source);
-        co_await sleepFor(hasAnswered ? gatherPause : Milliseconds(200));
+        co_await sleepFor(hasAnswered ? gatherPause : silencePause);
     }
 }
 
