--- a/src/gateway/sharing/SourceTree.h
+++ b/src/gateway/sharing/SourceTree.h
@@ -20,7 +20,7 @@
 {
 public:
     static constexpr std::size_t s_watchers = 3; ///< members that follow the registry
-    static constexpr std::size_t s_fanOut = 32; ///< members that ask one source, on average
+    static constexpr std::size_t s_fanOut = 40; ///< members that ask one source, on average
     /// Exclusion of a silent member; doubles with each silence in a row. A member that has just
     /// started is tried again soon, one that is gone seldom.
     static constexpr Duration s_firstExclusion = Milliseconds(250);
--- /dev/null
+++ b/test/FleetSharingTest.cpp
@@ -0,0 +1,311 @@
+#include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/SourceTree.h"
+#include "gateway/sharing/StateSharing.h"
+
+#include "ScriptedServer.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start{1h};
+
+std::vector<FleetMember> makeMembers(std::size_t count)
+{
+    std::vector<FleetMember> members;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto port = static_cast<std::uint16_t>(i + 1);
+        members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}});
+    }
+    return members;
+}
+
+class SourceTreeTest : public testing::TestWithParam<std::size_t>
+{ };
+
+TEST_P(SourceTreeTest, aFewFollowTheRegistryAndEveryOtherReachesThem)
+{
+    const std::vector<FleetMember> members = makeMembers(GetParam());
+    std::map<std::string, std::vector<FleetMember>> sourcesOf;
+    std::size_t watchers = 0;
+    std::map<std::string, std::size_t> askedBy;
+    for (const FleetMember &member : members) {
+        SourceTree tree(member.name);
+        tree.setMembers(members);
+        sourcesOf[member.name] = tree.sources(start);
+        watchers += tree.isWatcher(start) ? 1 : 0;
+        for (const FleetMember &source : sourcesOf[member.name])
+            ++askedBy[source.name];
+    }
+    EXPECT_EQ(watchers, std::min<std::size_t>(SourceTree::s_watchers, members.size()));
+    for (const FleetMember &member : members) {
+        std::string name = member.name;
+        int hops = 0;
+        for (; !sourcesOf[name].empty() && hops < 10; ++hops) {
+            EXPECT_EQ(sourcesOf[name].size(), SourceTree::s_watchers);
+            name = sourcesOf[name].front().name;
+        }
+        EXPECT_LE(hops, 2);
+    }
+    for (const auto &[name, count] : askedBy)
+        EXPECT_LE(count, SourceTree::s_watchers * (SourceTree::s_fanOut + 1)) << name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, SourceTreeTest, testing::Values(1, 2, 3, 4, 7, 66, 300, 3400));
+
+TEST(SourceTreeExclusionTest, theNextMembersTakeThePlaceOfSilentOnes)
+{
+    const std::vector<FleetMember> members = makeMembers(8);
+    SourceTree tree("host-0");
+    tree.setMembers(members);
+    std::set<std::string> seen;
+    TimePoint now = start;
+    while (!tree.isWatcher(now)) {
+        const FleetMember source = tree.sources(now).front();
+        EXPECT_TRUE(seen.insert(source.name).second) << "a silent member was asked again at once";
+        tree.noteSilent(source.name, now);
+    }
+    EXPECT_LT(seen.size(), members.size());
+    EXPECT_EQ(tree.sources(now + SourceTree::s_longestExclusion).empty(), seen.empty());
+}
+
+/// Writes down what it is told.
+class Recorder : public StateObserver
+{
+public:
+    void onConfig(const RoutingConfig &config) override
+    {
+        told.push_back("config " + std::to_string(config.version));
+    }
+    void onBackends(const std::vector<BackendEntry> &entries) override
+    {
+        told.push_back("listing " + std::to_string(entries.size()));
+    }
+    void onBackendChange(const BackendChange &change) override
+    {
+        told.push_back((change.entry ? "has " : "lost ") + change.id);
+    }
+    void onMembers(const std::vector<FleetMember> &members) override
+    {
+        told.push_back("members " + std::to_string(members.size()));
+    }
+    void onRegistryReturn() override { told.emplace_back("return"); }
+
+    std::vector<std::string> told;
+};
+
+using Told = std::vector<std::string>;
+
+RoutingConfig makeConfig(std::uint64_t version)
+{
+    RoutingConfig config;
+    config.version = version;
+    Route route;
+    route.name = "r";
+    route.host = "h";
+    route.pathPrefix = "/p/";
+    route.target = 50ms;
+    route.query = {{"a", "b"}, 5, 0.9};
+    config.routes.push_back(route);
+    config.services.push_back({"a", "/health", 26});
+    return config;
+}
+
+BackendEntry makeEntry(const std::string &id)
+{
+    BackendEntry entry;
+    entry.id = id;
+    entry.service = "a";
+    entry.address = {"127.0.0.1", 80};
+    entry.incarnation = 7;
+    return entry;
+}
+
+class FleetStateTest : public testing::Test
+{
+protected:
+    void copy()
+    {
+        const auto request = m_follower.request(0ms);
+        m_follower.take(m_watcher.answer(request, true, start), start);
+    }
+
+    Recorder m_atWatcher;
+    Recorder m_atFollower;
+    FleetState m_watcher{m_atWatcher};
+    FleetState m_follower{m_atFollower};
+};
+
+TEST_F(FleetStateTest, aFollowerGetsAllOnceAndThenOnlyChanges)
+{
+    m_watcher.setConfig(makeConfig(3));
+    m_watcher.setBackends({makeEntry("x"), makeEntry("y")}, 10);
+    m_watcher.setMembers(makeMembers(3), 11);
+    copy();
+    EXPECT_EQ(m_atFollower.told, (Told{"config 3", "listing 2", "members 3"}));
+    m_atFollower.told.clear();
+    copy();
+    EXPECT_TRUE(m_atFollower.told.empty());
+    m_watcher.changeBackend({"y", std::nullopt}, 12);
+    m_watcher.changeBackend({"z", makeEntry("z")}, 12);
+    copy();
+    EXPECT_EQ(m_atFollower.told, (Told{"lost y", "has z"}));
+    EXPECT_FALSE(m_watcher.hasNews(m_follower.request(0ms)));
+}
+
+TEST_F(FleetStateTest, everythingArrivesAsItWasRead)
+{
+    Recorder recorder;
+    m_watcher.setConfig(makeConfig(3));
+    m_watcher.setBackends({makeEntry("x")}, 10);
+    const auto reply = m_watcher.answer(m_follower.request(0ms), true, start);
+    ASSERT_EQ(reply.config().routes_size(), 1);
+    EXPECT_EQ(reply.config().routes(0).shards_size(), 2);
+    EXPECT_EQ(reply.config().routes(0).target_ms(), 50);
+    ASSERT_EQ(reply.changes_size(), 1);
+    EXPECT_EQ(reply.changes(0).entry().incarnation(), 7);
+}
+
+TEST_F(FleetStateTest, aLateReplyNeverLeadsBack)
+{
+    m_watcher.setConfig(makeConfig(3));
+    m_watcher.setBackends({makeEntry("x")}, 10);
+    const auto late = m_watcher.answer(m_follower.request(0ms), true, start);
+    m_watcher.setConfig(makeConfig(4));
+    m_watcher.changeBackend({"x", std::nullopt}, 12);
+    copy();
+    m_atFollower.told.clear();
+    m_follower.take(late, start);
+    EXPECT_TRUE(m_atFollower.told.empty());
+    EXPECT_EQ(m_follower.configVersion(), 4U);
+}
+
+TEST_F(FleetStateTest, whoLagsTooFarBehindGetsAListing)
+{
+    m_watcher.setBackends({makeEntry("x")}, 10);
+    copy();
+    m_watcher.setBackends({makeEntry("z")}, 20);
+    m_atFollower.told.clear();
+    copy();
+    EXPECT_EQ(m_atFollower.told, Told{"listing 1"});
+}
+
+TEST_F(FleetStateTest, theRegistrysReturnIsToldOnceHoweverOftenItIsHeard)
+{
+    m_watcher.noteRegistryReturn(start);
+    copy();
+    copy();
+    EXPECT_EQ(m_atFollower.told, Told{"return"});
+}
+
+/// A registry that is driven by the test.
+class FakeFeed : public RegistryFeed
+{
+public:
+    FakeFeed(FleetState &state, std::vector<FleetMember> members)
+        : m_state(state)
+        , m_members(std::move(members))
+    { }
+    void join(std::function<void()> onDone) override
+    {
+        m_state.setMembers(m_members, 5);
+        onDone();
+    }
+    void follow() override
+    {
+        isFollowing = true;
+        if (isReachable) {
+            m_state.setConfig(makeConfig(3));
+            m_state.setBackends({makeEntry("x")}, 10);
+        }
+    }
+    void rest() override { isFollowing = false; }
+    bool isCurrent() const override { return isFollowing && isReachable; }
+
+    bool isFollowing = false;
+    bool isReachable = true;
+
+private:
+    FleetState &m_state;
+    std::vector<FleetMember> m_members;
+};
+
+/// One process of the fleet.
+struct Process
+{
+    Process(boost::asio::io_context &context, const FleetMember &self,
+            const std::vector<FleetMember> &members)
+        : feed(state, members)
+        , sharing(context, SharingOptions{self, {}}, state, feed, metrics)
+    { }
+
+    Recorder recorder;
+    Metrics metrics;
+    FleetState state{recorder};
+    FakeFeed feed;
+    StateSharing sharing;
+};
+
+class StateSharingTest : public testing::Test
+{
+protected:
+    /// Processes on free ports of this host.
+    void makeProcesses(std::size_t count)
+    {
+        std::vector<FleetMember> members;
+        for (std::size_t i = 0; i < count; ++i) {
+            boost::asio::ip::tcp::acceptor probe(
+                m_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+            const std::uint16_t port = probe.local_endpoint().port();
+            members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}});
+        }
+        for (const FleetMember &member : members)
+            m_processes.push_back(std::make_unique<Process>(m_context, member, members));
+    }
+    std::size_t following() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_processes.begin(), m_processes.end(),
+                          [](const auto &process) { return process->feed.isFollowing; }));
+    }
+    bool allHold(std::uint64_t version) const
+    {
+        return std::all_of(m_processes.begin(), m_processes.end(), [&](const auto &process) {
+            return process->state.configVersion() >= version;
+        });
+    }
+
+    boost::asio::io_context m_context;
+    std::vector<std::unique_ptr<Process>> m_processes;
+};
+
+TEST_F(StateSharingTest, newsReachesAllWhileOnlyAFewFollowTheRegistry)
+{
+    makeProcesses(7);
+    for (const auto &process : m_processes)
+        ASSERT_TRUE(isOk(process->sharing.start()));
+    const auto isSettled = [&] { return allHold(3) && following() == SourceTree::s_watchers; };
+    ASSERT_TRUE(test::runUntil(m_context, isSettled)) << following();
+    for (const auto &process : m_processes) {
+        if (process->feed.isFollowing)
+            process->state.setConfig(makeConfig(8));
+    }
+    EXPECT_TRUE(test::runUntil(m_context, [&] { return allHold(8); }));
+}
+
+TEST_F(StateSharingTest, aProcessThatIsCutFromTheRegistryHearsItFromTheOthers)
+{
+    makeProcesses(2);
+    m_processes[0]->feed.isReachable = false;
+    for (const auto &process : m_processes)
+        ASSERT_TRUE(isOk(process->sharing.start()));
+    EXPECT_TRUE(test::runUntil(m_context, [&] { return allHold(3); }));
+}
+
+} // namespace
+} // namespace gwt
