Replace watchers that lost the registry, and wait for full backend servers

Now the age of what the registry said travels with each reply and a watcher whose calls fail says so; the members after it take its place. FleetSharingTest holds the case.

Cause 2: after a loss of power backend servers still hold the connections of the lost processes, are at their limit and reset new ones. Now a reset of a connection that never served means "full": no new connection for 40 to 320 ms, the request waits or goes to the same server again, and one connection of each process stays free (2 of 26 each for 7 processes, before 3).

--- a/apps/gwt-load.cpp
+++ b/apps/gwt-load.cpp
@@ -133,6 +133,6 @@
     }
     if (isCheckOnly)
         return gwt::exitOk;
-    gwt::initializeLog(name, "info");
+    gwt::initializeLog(name, "info", gwt::LogTarget::StandardError);
     return run(options);
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -14,7 +14,7 @@
 declare -A fleet_name=()
 
 fleet_spawn() { # NAME PROGRAM
-    "$fleet_bin/$2" --config "$fleet_run/$1.toml" 2>"$fleet_run/$1.log" &
+    "$fleet_bin/$2" --config "$fleet_run/$1.toml" >"$fleet_run/$1.log" 2>&1 &
     fleet_pids+=($!)
     fleet_name[$!]=$1
 }
--- a/src/common/Log.cpp
+++ b/src/common/Log.cpp
@@ -1,12 +1,76 @@
 #include "common/Log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <mutex>
+
 namespace gwt {
 
 namespace {
 
+/// Bytes held while the reader of a pipe is behind; about two thousand lines.
+constexpr std::size_t maxHeldBytes = 512U << 10U;
+
+std::atomic<std::uint64_t> droppedLines = 0;
+
+/// Writes to a file descriptor without ever waiting for its reader.
+class NonBlockingSink : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+    explicit NonBlockingSink(int descriptor)
+        : m_descriptor(descriptor)
+    {
+        struct stat status
+        { };
+        const bool mayBlock = ::fstat(descriptor, &status) == 0
+            && (S_ISFIFO(status.st_mode) || S_ISSOCK(status.st_mode));
+        if (mayBlock)
+            ::fcntl(descriptor, F_SETFL, ::fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+    }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        if (!m_held.empty())
+            writeHeld();
+        if (m_held.size() >= maxHeldBytes) {
+            ++droppedLines;
+            return;
+        }
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        m_held.append(line.data(), line.size());
+        writeHeld();
+    }
+    void flush_() override { writeHeld(); }
+
+private:
+    void writeHeld()
+    {
+        while (!m_held.empty()) {
+            const ssize_t written = ::write(m_descriptor, m_held.data(), m_held.size());
+            if (written < 0 && errno == EINTR)
+                continue;
+            if (written < 0) {
+                // Held for a reader that is behind; without a reader there is nobody to tell.
+                if (errno != EAGAIN)
+                    m_held.clear();
+                return;
+            }
+            m_held.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+    const int m_descriptor;
+    std::string m_held;
+};
+
 std::string quoted(const std::string &value)
 {
     const bool isPlain = !value.empty() && value.find_first_of(" \t\r\n\"=\\") == std::string::npos;
@@ -21,7 +85,8 @@
     return result + "\"";
 }
 
-void write(spdlog::level::level_enum level, std::string_view event, LogFields fields)
+template <typename Fields>
+void write(spdlog::level::level_enum level, std::string_view event, const Fields &fields)
 {
     if (!spdlog::should_log(level))
         return;
@@ -37,16 +102,22 @@
 
 } // namespace
 
-void initializeLog(const std::string &program, const std::string &level)
+void initializeLog(const std::string &program, const std::string &level, LogTarget target)
 {
-    auto logger = spdlog::stderr_logger_mt(program);
+    const int descriptor = target == LogTarget::StandardOutput ? STDOUT_FILENO : STDERR_FILENO;
+    auto logger
+        = std::make_shared<spdlog::logger>(program, std::make_shared<NonBlockingSink>(descriptor));
     logger->set_pattern("ts=%Y-%m-%dT%H:%M:%S.%eZ level=%l program=%n %v",
                         spdlog::pattern_time_type::utc);
     logger->set_level(spdlog::level::from_str(level));
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
+std::uint64_t droppedLogLines()
+{
+    return droppedLines;
+}
+
 void logDebug(std::string_view event, LogFields fields)
 {
     write(spdlog::level::debug, event, fields);
@@ -57,6 +128,11 @@
     write(spdlog::level::info, event, fields);
 }
 
+void logInfo(std::string_view event, const std::vector<LogField> &fields)
+{
+    write(spdlog::level::info, event, fields);
+}
+
 void logWarning(std::string_view event, LogFields fields)
 {
     write(spdlog::level::warn, event, fields);
--- a/src/common/Log.h
+++ b/src/common/Log.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace gwt {
 
@@ -35,13 +37,22 @@
 
 using LogFields = std::initializer_list<LogField>;
 
-/// \brief Prepares the process-wide logger: one line of key=value pairs per event on stderr.
+/// \brief Where the lines go: daemons write to standard output, tools keep that for their results.
+enum class LogTarget { StandardOutput, StandardError };
+
+/// \brief Prepares the process-wide logger: one line of key=value pairs per event.
 ///
-/// \a level is one of debug, info, warn, error.
-void initializeLog(const std::string &program, const std::string &level);
+/// \a level is one of debug, info, warn, error. Writing never blocks: if the reader of a pipe does
+/// not keep up, lines are held up to a bound and then left out.
+void initializeLog(const std::string &program, const std::string &level,
+                   LogTarget target = LogTarget::StandardOutput);
+
+/// \brief Lines left out so far because nobody read the earlier ones.
+std::uint64_t droppedLogLines();
 
 void logDebug(std::string_view event, LogFields fields = {});
 void logInfo(std::string_view event, LogFields fields = {});
+void logInfo(std::string_view event, const std::vector<LogField> &fields);
 void logWarning(std::string_view event, LogFields fields = {});
 void logError(std::string_view event, LogFields fields = {});
 
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -46,7 +46,9 @@
     , m_backends(PoolContext{context, timers, names, metrics, m_options.availabilityZone},
                  m_options.repeatBudget)
     , m_merge(recordBytes)
-    , m_forwarding{timers, m_backends, m_hedges, m_delivery, m_merge, names, metrics, m_fleetSize}
+    , m_recorder(metrics)
+    , m_forwarding{timers, m_backends, m_hedges,   m_delivery, m_merge,
+                   names,  metrics,    m_recorder, m_fleetSize}
 { }
 
 void GatewayCore::onConfig(const RoutingConfig &config)
@@ -116,12 +118,23 @@
             = m_timers.at(*due, [this] { applyBackends(m_registry.expire(Clock::now())); });
 }
 
-void GatewayCore::countRequest(const Route &route, const char *how)
+void GatewayCore::refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
+                         std::optional<Milliseconds> retryAfter)
 {
-    m_metrics
-        .counter("gwt_gateway_requests_total", "Requests by route rank and kind",
-                 {{"rank", std::to_string(route.rank)}, {"kind", how}})
-        .Increment();
+    constexpr int noRank = -1;
+    const TimePoint now = Clock::now();
+    m_recorder.countReason(RequestEnd::Refused, reason);
+    if (m_recorder.note(RequestEnd::Refused, noRank, now - exchange.arrivedAt(), now)) {
+        const WireRequest &request = exchange.request();
+        logInfo("request_refused",
+                {{"id", std::string(request[m_names.requestId])},
+                 {"host", std::string(request[http::field::host])},
+                 {"path", std::string(request.target())},
+                 {"reason", reason},
+                 {"status", status},
+                 {"version", m_routes ? m_routes->config().version : 0}});
+    }
+    exchange.respond(makeRefusal(status, reason, retryAfter));
 }
 
 RequestPlan GatewayCore::plan(std::shared_ptr<CallerExchange> exchange, const Route &route) const
@@ -143,26 +156,24 @@
 {
     const WireRequest &request = exchange->request();
     if (!m_routes) {
-        exchange->respond(makeRefusal(503, "no_configuration", startReturn));
+        refuse(*exchange, 503, "no_configuration", startReturn);
         return;
     }
     if (request.count(m_names.requestId) != 1) {
-        exchange->respond(makeRefusal(400, "no_request_id"));
+        refuse(*exchange, 400, "no_request_id");
         return;
     }
     const Route *route
         = m_routes->find(viewOf(request[http::field::host]), viewOf(request.target()));
     if (!route) {
-        exchange->respond(makeRefusal(404, "no_route"));
+        refuse(*exchange, 404, "no_route");
         return;
     }
     RequestPlan requestPlan = plan(std::move(exchange), *route);
     if (route->isShardQuery()) {
-        countRequest(*route, "shards");
         std::make_shared<ShardQueryRun>(m_forwarding, std::move(requestPlan))->start();
         return;
     }
-    countRequest(*route, "single");
     const std::string &service = m_split.next(*route);
     std::make_shared<SingleForward>(m_forwarding, std::move(requestPlan), service)->start();
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -34,7 +34,8 @@
     void scheduleExpiry();
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
     RequestPlan plan(std::shared_ptr<CallerExchange> exchange, const Route &route) const;
-    void countRequest(const Route &route, const char *how);
+    void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
+                std::optional<Milliseconds> retryAfter = std::nullopt);
 
     const GatewayOptions m_options;
     const HeaderNames &m_names;
@@ -50,6 +51,7 @@
     DeliveryTime m_delivery;
     const FixedSizeMerge m_merge;
     WeightedSplit m_split;
+    RequestRecorder m_recorder;
     ForwardingContext m_forwarding;
     TimerQueue::Id m_expiryTimer;
 };
--- a/src/gateway/backends/BackendFleet.cpp
+++ b/src/gateway/backends/BackendFleet.cpp
@@ -4,17 +4,11 @@
 
 namespace gwt {
 
-namespace {
-
-/// Connections of a backend server that no process plans with: closes and opens overlap.
-constexpr int spareConnections = 2;
-
-} // namespace
-
 int connectionShare(int maxConnections, int fleetSize)
 {
-    const int planned = std::max(maxConnections - spareConnections, 1);
-    return std::max(1, planned / std::max(1, fleetSize));
+    // One connection of each process stays free: after a loss of power the server still holds
+    // those of the processes before.
+    return std::max(1, maxConnections / std::max(1, fleetSize) - 1);
 }
 
 BackendFleet::BackendFleet(PoolContext context, RepeatBudgetRules budget)
--- a/src/gateway/backends/BackendServer.cpp
+++ b/src/gateway/backends/BackendServer.cpp
@@ -8,6 +8,10 @@
 
 /// A request that is sent this shortly before the server's idle time-out may cross its close.
 constexpr Milliseconds closeMargin{100};
+/// A server at its limit of connections has room again when one of them ends. After a loss of
+/// power it holds those of the lost processes until its idle time-out.
+constexpr Milliseconds firstConnectHold{40};
+constexpr Milliseconds longestConnectHold{320};
 
 } // namespace
 
@@ -50,6 +54,12 @@
     });
 }
 
+void BackendServer::holdConnects(TimePoint now)
+{
+    m_connectHold = std::clamp<Duration>(m_connectHold * 2, firstConnectHold, longestConnectHold);
+    m_connectsHeldUntil = now + m_connectHold;
+}
+
 void BackendServer::endLeg(TimePoint sentAt)
 {
     const auto leg = m_sentTimes.find(sentAt);
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -40,6 +40,12 @@
     void beginConnect() { ++m_connecting; }
     void endConnect() { --m_connecting; }
 
+    /// \brief The server takes no further connection: none is opened for a while, longer each time.
+    void holdConnects(TimePoint now);
+    /// \brief A new connection was good.
+    void releaseConnects() { m_connectHold = Duration::zero(); }
+    TimePoint connectsHeldUntil() const { return m_connectsHeldUntil; }
+
     void beginLeg(TimePoint now) { m_sentTimes.insert(now); }
     void endLeg(TimePoint sentAt);
     int inFlight() const { return static_cast<int>(m_sentTimes.size()); }
@@ -52,6 +58,8 @@
     std::vector<std::shared_ptr<ClientConnection>> m_connections;
     std::multiset<TimePoint> m_sentTimes;
     int m_connecting = 0;
+    TimePoint m_connectsHeldUntil;
+    Duration m_connectHold{0};
     bool m_isRetired = false;
 };
 
--- a/src/gateway/backends/Leg.h
+++ b/src/gateway/backends/Leg.h
@@ -30,6 +30,7 @@
     std::string backendId; ///< empty if the leg was never assigned
     std::optional<WireResponse> response; ///< with Answered and NotRun
     std::string reason; ///< of an end without an answer, as metric label
+    bool isOverLimit = false; ///< the server took no further connection; it has most likely not run
     Duration elapsed{0}; ///< from the send to the end
 };
 
@@ -46,6 +47,7 @@
     TimePoint deadline; ///< told to the backend server
     Duration usual{0}; ///< latency that a leg of this route usually has
     std::vector<std::string> avoid; ///< backend servers that it must not go to
+    std::string only; ///< the one backend server that it may go to; empty: any
     Handler handler; ///< empty once nobody waits for the reply
 
     // Filled in while it runs.
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -72,6 +72,18 @@
                        [&](const auto &each) { return isCandidate(*each.second, avoid, now); });
 }
 
+bool ServicePool::isCandidate(const BackendServer &server, const Leg &leg, TimePoint now) const
+{
+    return (leg.only.empty() || leg.only == server.entry().id)
+        && isCandidate(server, leg.avoid, now);
+}
+
+bool ServicePool::hasCandidate(const Leg &leg, TimePoint now) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(),
+                       [&](const auto &each) { return isCandidate(*each.second, leg, now); });
+}
+
 void ServicePool::submit(const std::shared_ptr<Leg> &leg)
 {
     leg->number = ++m_lastNumber;
@@ -97,7 +109,7 @@
     std::vector<std::shared_ptr<Leg>> unserved;
     for (auto it = m_queue.begin(); it != m_queue.end();) {
         const std::shared_ptr<Leg> leg = *it;
-        if (!hasServer(now, leg->avoid)) {
+        if (!hasCandidate(*leg, now)) {
             it = m_queue.erase(it);
             unserved.push_back(leg);
             continue;
@@ -126,10 +138,11 @@
     Duration bestCost = Duration::max();
     const Duration maxIdle = leg.isIdempotent ? Duration::max() : Duration(maxIdleOnce);
     for (const auto &[id, server] : m_servers) {
-        if (!isCandidate(*server, leg.avoid, now))
+        if (!isCandidate(*server, leg, now))
             continue;
         auto connection = server->idleConnection(now, maxIdle);
-        const bool mayOpen = server->connections() < m_connectionShare || server->connecting() > 0;
+        const bool mayOpen = server->connecting() > 0
+            || (server->connections() < m_connectionShare && now >= server->connectsHeldUntil());
         if (!connection && !mayOpen)
             continue;
         Duration cost = server->score().expected(
@@ -155,28 +168,54 @@
     connection->connect(server->entry().address, connectTimeout,
                         [this, server, connection](const Outcome<Done> &outcome) {
                             server->endConnect();
-                            if (isOk(outcome)) {
-                                server->addConnection(connection);
-                                connection->onIdleClose(
-                                    [weak = std::weak_ptr(server), raw = connection.get()] {
-                                        if (const auto owner = weak.lock())
-                                            owner->removeConnection(raw);
-                                    });
-                            } else {
-                                const TimePoint now = Clock::now();
-                                server->score().note(SendResult::Unreachable, Duration::zero(),
-                                                     Duration::zero(), now);
-                                logInfo("backend_unreachable",
-                                        {{"service", m_service},
-                                         {"backend", server->entry().id},
-                                         {"reason", errorOf(outcome).reason}});
-                            }
+                            if (isOk(outcome))
+                                onConnected(server, connection);
+                            else
+                                onConnectFailed(server, errorOf(outcome));
                             if (!server->isUsable())
                                 server->closeIdle();
                             dispatch();
                         });
 }
 
+void ServicePool::onConnected(const std::shared_ptr<BackendServer> &server,
+                              const std::shared_ptr<ClientConnection> &connection)
+{
+    server->addConnection(connection);
+    connection->onIdleClose([this, weak = std::weak_ptr(server), raw = connection.get()] {
+        const auto owner = weak.lock();
+        if (!owner)
+            return;
+        if (!raw->hasServed())
+            holdConnects(owner);
+        owner->removeConnection(raw);
+    });
+}
+
+void ServicePool::onConnectFailed(const std::shared_ptr<BackendServer> &server, const Error &error)
+{
+    if (error.reason == "connect_reset") {
+        holdConnects(server);
+        return;
+    }
+    server->score().note(SendResult::Unreachable, Duration::zero(), Duration::zero(), Clock::now());
+    logInfo("backend_unreachable",
+            {{"service", m_service},
+             {"backend", server->entry().id},
+             {"reason", error.reason},
+             {"detail", error.detail}});
+}
+
+void ServicePool::holdConnects(const std::shared_ptr<BackendServer> &server)
+{
+    server->holdConnects(Clock::now());
+    m_context.metrics
+        .counter("gwt_gateway_connects_held_total",
+                 "Connections that a backend server at its limit did not take")
+        .Increment();
+    m_context.timers.at(server->connectsHeldUntil(), [this] { dispatch(); });
+}
+
 void ServicePool::send(const std::shared_ptr<Leg> &leg, const Choice &choice, TimePoint now)
 {
     leg->server = choice.server;
@@ -223,16 +262,23 @@
     LegReply reply = interpret(*leg, outcome);
     reply.elapsed = now - leg->sentAt;
     BackendServer &server = *leg->server;
+    if (reply.response)
+        server.releaseConnects();
     const bool isServed = reply.result == LegResult::Answered
         && http::to_status_class(reply.response->result()) != http::status_class::server_error;
     SendResult result = isServed ? SendResult::Served : SendResult::Failed;
     if (reply.result == LegResult::NotRun)
         result = SendResult::Refused;
+    reply.isOverLimit = reply.result == LegResult::Unknown && reply.reason == "connection_lost"
+        && !leg->connection->hasServed();
+    if (reply.isOverLimit)
+        holdConnects(leg->server);
     if (reply.reason == "misdirected") {
         logInfo("backend_misdirected", {{"service", m_service}, {"backend", server.entry().id}});
         server.retire();
     }
-    server.score().note(result, reply.elapsed, leg->usual, now);
+    if (!reply.isOverLimit)
+        server.score().note(result, reply.elapsed, leg->usual, now);
     end(leg, std::move(reply));
 }
 
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -60,9 +60,15 @@
     void dispatch();
     bool isCandidate(const BackendServer &server, const std::vector<std::string> &avoid,
                      TimePoint now) const;
+    bool isCandidate(const BackendServer &server, const Leg &leg, TimePoint now) const;
+    bool hasCandidate(const Leg &leg, TimePoint now) const;
     Choice choose(const Leg &leg, TimePoint now);
     void send(const std::shared_ptr<Leg> &leg, const Choice &choice, TimePoint now);
     void openConnection(const std::shared_ptr<BackendServer> &server);
+    void onConnected(const std::shared_ptr<BackendServer> &server,
+                     const std::shared_ptr<ClientConnection> &connection);
+    void onConnectFailed(const std::shared_ptr<BackendServer> &server, const Error &error);
+    void holdConnects(const std::shared_ptr<BackendServer> &server);
     void onReply(const std::shared_ptr<Leg> &leg, Outcome<WireResponse> outcome);
     LegReply interpret(const Leg &leg, Outcome<WireResponse> &outcome) const;
     void expire(const std::shared_ptr<Leg> &leg);
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -3,6 +3,7 @@
 #include "gateway/backends/BackendFleet.h"
 #include "gateway/callers/CallerExchange.h"
 #include "gateway/forwarding/RecordMerge.h"
+#include "gateway/forwarding/RequestRecorder.h"
 #include "gateway/policy/AnswerPolicy.h"
 #include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
@@ -19,6 +20,7 @@
     const RecordMerge &merge;
     const HeaderNames &names;
     Metrics &metrics;
+    RequestRecorder &recorder;
     const int &fleetSize; ///< processes that share the budgets
 };
 
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -37,7 +37,7 @@
         && m_sends < m_plan.route->maxAttempts + extraSends;
 }
 
-void ServiceCall::send()
+void ServiceCall::send(const std::string &only)
 {
     auto leg = std::make_shared<Leg>();
     leg->request = m_plan.request;
@@ -45,7 +45,9 @@
     leg->isIdempotent = m_plan.route->isIdempotent;
     leg->deadline = m_plan.deadline;
     leg->usual = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
-    leg->avoid = m_tried;
+    if (only.empty())
+        leg->avoid = m_tried;
+    leg->only = only;
     leg->handler = [self = shared_from_this(), weak = std::weak_ptr(leg)](LegReply reply) {
         if (const auto ended = weak.lock())
             self->onReply(ended, std::move(reply));
@@ -78,12 +80,28 @@
         && response.count(m_context.names.signature) > 0;
 }
 
+std::string ServiceCall::asked() const
+{
+    std::string text;
+    for (const std::string &server : m_asked)
+        text.append(text.empty() ? "" : ",").append(server);
+    for (const std::shared_ptr<Leg> &leg : m_legs) {
+        if (leg->server)
+            text.append(text.empty() ? "" : ",").append(leg->server->entry().id);
+    }
+    return text;
+}
+
 void ServiceCall::onReply(const std::shared_ptr<Leg> &leg, LegReply reply)
 {
     std::erase(m_legs, leg);
+    if (!reply.backendId.empty())
+        m_asked.push_back(reply.backendId);
     if (!m_handler)
         return;
-    if (reply.result == LegResult::Answered || reply.result == LegResult::Unknown)
+    const bool mayHaveRun = reply.result == LegResult::Answered
+        || (reply.result == LegResult::Unknown && !reply.isOverLimit);
+    if (mayHaveRun)
         ++m_runs;
     if (reply.result == LegResult::Answered && isSuccess(*reply.response)) {
         m_context.hedges.note(m_plan.route->name, reply.elapsed);
@@ -107,7 +125,7 @@
         return;
     ServiceReply failure;
     failure.response = std::move(m_failure);
-    failure.mayHaveRun = m_runs > 0;
+    failure.mayHaveRun = m_runs > 0 || reply.result == LegResult::Unknown;
     failure.reason = m_reason;
     finish(std::move(failure));
 }
@@ -128,6 +146,8 @@
         send();
         return true;
     }
+    if (reply.isOverLimit)
+        return retryOverLimit(reply, now);
     m_tried.push_back(reply.backendId);
     if (!m_legs.empty())
         return false;
@@ -143,6 +163,16 @@
     return true;
 }
 
+bool ServiceCall::retryOverLimit(const LegReply &reply, TimePoint now)
+{
+    // The same server again: another one could make one more that may have run it.
+    if (!m_legs.empty() || !m_pool.budget().take(now, m_context.fleetSize))
+        return false;
+    countRepeat("over_limit");
+    send(reply.backendId);
+    return true;
+}
+
 void ServiceCall::retryLater()
 {
     m_retryTimer = m_context.timers.after(refusalPause, [self = shared_from_this()] {
--- a/src/gateway/forwarding/ServiceCall.h
+++ b/src/gateway/forwarding/ServiceCall.h
@@ -40,13 +40,19 @@
     /// \brief Drops what was sent and closes its connections.
     void cancel();
     bool isOpen() const { return static_cast<bool>(m_handler); }
+    const std::string &service() const { return m_service; }
+    int sends() const { return m_sends; }
+    /// \brief The backend servers that were asked, separated by commas.
+    std::string asked() const;
 
 private:
     bool maySend() const;
-    void send();
+    /// \brief Sends to any backend server that was not tried, or \a only to one.
+    void send(const std::string &only = {});
     void onReply(const std::shared_ptr<Leg> &leg, LegReply reply);
     bool retry(const LegReply &reply);
     void retryLater();
+    bool retryOverLimit(const LegReply &reply, TimePoint now);
     void finish(ServiceReply reply);
     bool isSuccess(const WireResponse &response) const;
     void countRepeat(const std::string &kind);
@@ -58,6 +64,7 @@
     Handler m_handler; ///< empty once the call has ended
     std::vector<std::shared_ptr<Leg>> m_legs; ///< those that have not ended
     std::vector<std::string> m_tried;
+    std::vector<std::string> m_asked; ///< for logs: every server that got a send
     std::optional<WireResponse> m_failure; ///< the last error response of a server
     std::string m_reason = "no_server";
     TimerQueue::Id m_retryTimer;
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -12,6 +12,7 @@
 /// Legs of a caller that has left end by themselves in most cases; a connection that is closed
 /// must be opened again, so only those that are out for longer are broken off.
 constexpr Milliseconds abandonAfter{300};
+constexpr std::size_t maxNamedShards = 4; ///< in a log line
 
 } // namespace
 
@@ -139,8 +140,12 @@
     response.fields.emplace_back(m_context.names.missingParts, std::to_string(missing));
     response.body = m_context.merge.merge(parts, query.topRecords);
     const bool wasDue = m_open > 0;
+    const TimePoint now = Clock::now();
+    const RequestEnd end = missing > 0 ? RequestEnd::Partial : RequestEnd::Served;
+    if (m_context.recorder.note(end, m_plan.route->rank, elapsed(), now))
+        logInfo("query_answered", endFields(wasDue ? "target_near" : "all_in", response.status));
     const auto exchange = m_plan.exchange;
-    end();
+    finish();
     exchange->respond(std::move(response));
     const Duration lateness = Clock::now() - m_cutoff;
     if (wasDue && lateness < m_plan.route->target / 2)
@@ -149,13 +154,18 @@
 
 void ShardQueryRun::refuse(std::size_t reachable)
 {
-    logInfo("query_refused",
-            {{"id", m_plan.request->id()},
-             {"route", m_plan.route->name},
-             {"reason", "shards_unreachable"},
-             {"reachable", reachable},
-             {"shards", m_plan.route->query.shards.size()},
-             {"version", m_plan.routes->config().version}});
+    const TimePoint now = Clock::now();
+    m_context.recorder.countReason(RequestEnd::Refused, "shards_unreachable");
+    if (m_context.recorder.note(RequestEnd::Refused, m_plan.route->rank, elapsed(), now)) {
+        logInfo("query_refused",
+                {{"id", m_plan.request->id()},
+                 {"route", m_plan.route->name},
+                 {"reason", "shards_unreachable"},
+                 {"reachable", reachable},
+                 {"shards", m_plan.route->query.shards.size()},
+                 {"min_share", m_plan.route->query.minShare},
+                 {"version", m_plan.routes->config().version}});
+    }
     m_isEnded = true;
     m_plan.exchange->respond(makeRefusal(503, "shards_unreachable", shardsReturn));
 }
@@ -164,21 +174,13 @@
 {
     if (m_isEnded)
         return;
-    std::string missing;
-    for (const auto &[why, count] : m_missing)
-        missing += why + ":" + std::to_string(count) + " ";
-    logInfo("query_failed",
-            {{"id", m_plan.request->id()},
-             {"route", m_plan.route->name},
-             {"reason", reason},
-             {"status", status},
-             {"answered", m_parts.size()},
-             {"open", m_open},
-             {"missing", missing},
-             {"version", m_plan.routes->config().version},
-             {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}});
+    const TimePoint now = Clock::now();
+    const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
+    m_context.recorder.countReason(end, reason);
+    if (m_context.recorder.note(end, m_plan.route->rank, elapsed(), now))
+        logInfo("query_failed", endFields(reason, status));
     const auto exchange = m_plan.exchange;
-    end();
+    finish();
     const bool isRefusal = status == 503;
     exchange->respond(
         makeRefusal(status, reason, isRefusal ? std::optional(shardsReturn) : std::nullopt));
@@ -188,11 +190,9 @@
 {
     if (m_isEnded)
         return;
-    logInfo("caller_gone",
-            {{"id", m_plan.request->id()},
-             {"route", m_plan.route->name},
-             {"answered", m_parts.size()},
-             {"open", m_open}});
+    const TimePoint now = Clock::now();
+    if (m_context.recorder.note(RequestEnd::Abandoned, m_plan.route->rank, elapsed(), now))
+        logInfo("caller_gone", endFields("caller_gone", 0));
     m_isEnded = true;
     m_context.timers.cancel(m_hedgeTimer);
     m_context.timers.cancel(m_cutoffTimer);
@@ -206,8 +206,44 @@
     });
 }
 
-void ShardQueryRun::end()
+std::vector<LogField> ShardQueryRun::endFields(const std::string &reason, unsigned status) const
+{
+    std::string missing;
+    for (const auto &[why, count] : m_missing) {
+        missing.append(missing.empty() ? "" : ",").append(why);
+        missing.append(":").append(std::to_string(count));
+    }
+    std::string open;
+    int sends = 0;
+    std::size_t named = 0;
+    for (const auto &call : m_calls) {
+        sends += call->sends();
+        if (call->isOpen() && named++ < maxNamedShards)
+            open.append(open.empty() ? "" : ",")
+                .append(call->service())
+                .append("@" + call->asked());
+    }
+    return {{"id", m_plan.request->id()},
+            {"route", m_plan.route->name},
+            {"reason", reason},
+            {"status", status},
+            {"shards", m_plan.route->query.shards.size()},
+            {"answered", m_parts.size()},
+            {"open", m_open},
+            {"waits_for", open},
+            {"missing", missing},
+            {"sends", sends},
+            {"reserved_ms", std::chrono::duration_cast<Milliseconds>(m_reserved).count()},
+            {"version", m_plan.routes->config().version},
+            {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}};
+}
+
+void ShardQueryRun::finish()
 {
+    for (const auto &[reason, count] : m_missing)
+        m_context.recorder.countMissing(reason, count);
+    if (m_open > 0)
+        m_context.recorder.countMissing("late", static_cast<int>(m_open));
     m_isEnded = true;
     m_context.timers.cancel(m_hedgeTimer);
     m_context.timers.cancel(m_cutoffTimer);
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/Log.h"
 #include "gateway/forwarding/ServiceCall.h"
 
 namespace gwt {
@@ -29,7 +30,8 @@
     void giveUp(unsigned status, const std::string &reason);
     void refuse(std::size_t reachable);
     void callerGone();
-    void end();
+    void finish();
+    std::vector<LogField> endFields(const std::string &reason, unsigned status) const;
     QueryProgress progress() const;
     Duration elapsed() const;
 
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -80,6 +80,19 @@
     answer.body = response.body();
     m_isEnded = true;
     stopTimers();
+    const TimePoint now = Clock::now();
+    const Duration elapsed = now - m_plan.exchange->arrivedAt();
+    if (m_context.recorder.note(RequestEnd::Served, m_plan.route->rank, elapsed, now)) {
+        logInfo("request_served",
+                {{"id", m_plan.request->id()},
+                 {"route", m_plan.route->name},
+                 {"service", m_service},
+                 {"status", answer.status},
+                 {"sends", m_call->sends()},
+                 {"backends", m_call->asked()},
+                 {"version", m_plan.routes->config().version},
+                 {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}});
+    }
     m_plan.exchange->respond(std::move(answer));
 }
 
@@ -89,16 +102,23 @@
         return;
     m_isEnded = true;
     stopTimers();
-    logInfo("request_failed",
-            {{"id", m_plan.request->id()},
-             {"route", m_plan.route->name},
-             {"service", m_service},
-             {"reason", reason},
-             {"status", status},
-             {"version", m_plan.routes->config().version},
-             {"elapsed_ms",
-              std::chrono::duration_cast<Milliseconds>(Clock::now() - m_plan.exchange->arrivedAt())
-                  .count()}});
+    const TimePoint now = Clock::now();
+    const Duration elapsed = now - m_plan.exchange->arrivedAt();
+    const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
+    m_context.recorder.countReason(end, reason);
+    if (m_context.recorder.note(end, m_plan.route->rank, elapsed, now)) {
+        logInfo("request_failed",
+                {{"id", m_plan.request->id()},
+                 {"route", m_plan.route->name},
+                 {"service", m_service},
+                 {"reason", reason},
+                 {"status", status},
+                 {"sends", m_call ? m_call->sends() : 0},
+                 {"backends", m_call ? m_call->asked() : ""},
+                 {"is_idempotent", m_plan.route->isIdempotent ? "yes" : "no"},
+                 {"version", m_plan.routes->config().version},
+                 {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}});
+    }
     if (m_call)
         m_call->detach();
     std::optional<Milliseconds> retryAfter;
@@ -111,7 +131,15 @@
 {
     if (m_isEnded)
         return;
-    logInfo("caller_gone", {{"id", m_plan.request->id()}, {"route", m_plan.route->name}});
+    const TimePoint now = Clock::now();
+    const Duration elapsed = now - m_plan.exchange->arrivedAt();
+    if (m_context.recorder.note(RequestEnd::Abandoned, m_plan.route->rank, elapsed, now)) {
+        logInfo("caller_gone",
+                {{"id", m_plan.request->id()},
+                 {"route", m_plan.route->name},
+                 {"backends", m_call->asked()},
+                 {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}});
+    }
     m_isEnded = true;
     stopTimers();
     m_call->abandon();
--- /dev/null
+++ b/src/gateway/policy/LogBudget.cpp
@@ -0,0 +1,18 @@
+#include "gateway/policy/LogBudget.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+bool LogBudget::take(Bucket &bucket, double perSecond, TimePoint now)
+{
+    const std::chrono::duration<double> passed = now - bucket.filled;
+    bucket.tokens = std::min(perSecond, bucket.tokens + passed.count() * perSecond);
+    bucket.filled = now;
+    if (bucket.tokens < 1)
+        return false;
+    bucket.tokens -= 1;
+    return true;
+}
+
+} // namespace gwt
--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -100,11 +100,11 @@
     return request;
 }
 
-wire::FleetStateReply FleetState::answer(const wire::FleetStateRequest &request, bool isCurrent,
-                                         TimePoint now) const
+wire::FleetStateReply FleetState::answer(const wire::FleetStateRequest &request,
+                                         Duration registryAge, TimePoint now) const
 {
     wire::FleetStateReply reply;
-    reply.set_is_current(isCurrent);
+    reply.set_registry_age_ms(std::chrono::duration_cast<Milliseconds>(registryAge).count());
     if (m_config.version > request.config_version())
         encode(m_config, *reply.mutable_config());
     reply.set_backend_revision(m_backendRevision);
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -47,8 +47,8 @@
     void setMembers(const std::vector<FleetMember> &members, std::uint64_t revision);
     void noteRegistryReturn(TimePoint now);
 
-    /// \brief What is newer than \a request holds.
-    wire::FleetStateReply answer(const wire::FleetStateRequest &request, bool isCurrent,
+    /// \brief What is newer than \a request holds; the registry was heard \a registryAge ago.
+    wire::FleetStateReply answer(const wire::FleetStateRequest &request, Duration registryAge,
                                  TimePoint now) const;
     bool hasNews(const wire::FleetStateRequest &request) const;
     /// \brief A request for everything newer than what is held here.
--- a/src/gateway/sharing/RegistryFeed.h
+++ b/src/gateway/sharing/RegistryFeed.h
@@ -19,6 +19,8 @@
     virtual void rest() = 0;
     /// \brief True while it follows the registry and the registry answers.
     virtual bool isCurrent() const = 0;
+    /// \brief True while it follows the registry and the registry does not answer.
+    virtual bool isLost() const = 0;
 };
 
 } // namespace gwt
--- a/src/gateway/sharing/StateCodec.h
+++ b/src/gateway/sharing/StateCodec.h
@@ -8,6 +8,7 @@
 
 namespace gwt {
 
+/// \brief Conversions between the project's types and the messages between gateways.
 void encode(const RoutingConfig &config, wire::RoutingConfigMessage &message);
 void encode(const BackendChange &change, wire::BackendChangeMessage &message);
 void encode(const FleetMember &member, wire::MemberMessage &message);
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -22,8 +22,10 @@
 /// After the start, the time in which a source must have proved to be current; the registry is
 /// asked then, for a process without a configuration refuses everything.
 constexpr Milliseconds startGrace{300};
-/// A source that was current is relied on by others for this long after its last reply.
-constexpr Milliseconds currentFor{3000};
+/// A source that has not heard the registry for longer is asked again without a wait. A process of
+/// a small fleet asks the registry itself after this age, one of a large fleet after twice as much:
+/// others move up first. Half of the shortest time in which a configuration must be in force.
+constexpr Milliseconds maxRegistryAge{1500};
 /// Up to this many members each asks the registry as it starts: all are asked for news too late if
 /// the whole fleet has just started, and the calls are few.
 constexpr std::size_t smallFleet = 12;
@@ -66,9 +68,11 @@
     return bound;
 }
 
-bool StateSharing::isCurrent(TimePoint now) const
+Duration StateSharing::registryAge(TimePoint now)
 {
-    return (m_isWatching && m_feed.isCurrent()) || now < m_currentUntil;
+    if (m_isWatching && m_feed.isCurrent())
+        m_heardAt = now;
+    return now - m_heardAt;
 }
 
 std::vector<FleetMember> StateSharing::sources(TimePoint now) const
@@ -105,11 +109,13 @@
     while (!m_hasJoined)
         co_await sleepFor(gatherPause);
     if (m_state.members().size() > smallFleet)
-        m_currentUntil = std::max(m_currentUntil, Clock::now() + startGrace);
+        m_heardAt = std::max(m_heardAt, Clock::now() + startGrace - maxRegistryAge);
     for (;;) {
         const TimePoint now = Clock::now();
         const std::vector<FleetMember> known = sources(now);
-        const bool isLost = now >= m_currentUntil && !known.empty();
+        const Duration maxAge
+            = m_state.members().size() > smallFleet ? 2 * maxRegistryAge : maxRegistryAge;
+        const bool isLost = registryAge(now) > maxAge && !known.empty();
         // Without a source that is current, the registry itself is asked until there is one.
         setWatching(m_tree.isWatcher(now) || isLost);
         if (known.empty()) {
@@ -117,8 +123,8 @@
             continue;
         }
         const FleetMember source = known[m_turn++ % known.size()];
-        const bool hasAnswered = co_await askOne(source);
-        co_await sleepFor(hasAnswered ? gatherPause : silencePause);
+        const bool isGood = co_await askOne(source);
+        co_await sleepFor(isGood ? gatherPause : silencePause);
     }
 }
 
@@ -135,11 +141,17 @@
         m_tree.noteSilent(source.name, now);
         co_return false;
     }
-    m_tree.noteAnswer(source.name);
     m_state.take(valueOf(reply), now);
-    if (valueOf(reply).is_current())
-        m_currentUntil = now + currentFor;
-    co_return true;
+    const Milliseconds age(valueOf(reply).registry_age_ms());
+    m_heardAt = std::max(m_heardAt, now - age);
+    if (valueOf(reply).has_lost_registry()) {
+        // Left out, so that the members after it move up and follow the registry in its place.
+        logInfo("source_outdated", {{"source", source.name}, {"registry_age_ms", age.count()}});
+        m_tree.noteSilent(source.name, now);
+        co_return false;
+    }
+    m_tree.noteAnswer(source.name);
+    co_return age <= maxRegistryAge;
 }
 
 Task<void> StateSharing::waitForNews(Duration limit)
@@ -152,12 +164,15 @@
 
 Task<wire::FleetStateReply> StateSharing::serve(wire::FleetStateRequest request, PeerRequest)
 {
-    if (!m_state.hasNews(request)) {
+    const bool isOutdated = m_feed.isLost() || registryAge(Clock::now()) > maxRegistryAge;
+    if (!isOutdated && !m_state.hasNews(request)) {
         const Milliseconds asked(request.wait_ms());
         co_await waitForNews(std::min<Duration>(asked, pollWait));
     }
     const TimePoint now = Clock::now();
-    co_return m_state.answer(request, isCurrent(now), now);
+    wire::FleetStateReply reply = m_state.answer(request, registryAge(now), now);
+    reply.set_has_lost_registry(m_isWatching && m_feed.isLost());
+    co_return reply;
 }
 
 } // namespace gwt
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -37,7 +37,7 @@
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
     Task<void> waitForNews(Duration limit);
     std::vector<FleetMember> sources(TimePoint now) const;
-    bool isCurrent(TimePoint now) const;
+    Duration registryAge(TimePoint now);
     void setWatching(bool isWatching);
 
     const SharingOptions m_options;
@@ -52,7 +52,9 @@
     bool m_isWatching = false;
     bool m_hasJoined = false;
     std::size_t m_turn = 0;
-    TimePoint m_currentUntil; ///< by the last reply of a current source
+    /// When the registry was last heard, by this process or by the one that told it. Ages travel
+    /// with the replies, so that processes that only ask each other notice that all are outdated.
+    TimePoint m_heardAt;
 };
 
 } // namespace gwt
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -51,6 +51,13 @@
     return std::chrono::seconds(seconds);
 }
 
+const char *connectFailure(const error_code &code)
+{
+    if (code == asio::error::operation_aborted)
+        return "connect_timeout";
+    return code == asio::error::connection_reset ? "connect_reset" : "connect_failed";
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &context, TimerQueue &timers,
@@ -77,12 +84,10 @@
     m_socket.async_connect(
         {address, remote.port},
         [self = shared_from_this(), handler = std::move(handler)](const error_code &code) {
-            const bool isTimeout = code == asio::error::operation_aborted;
             self->m_timers.cancel(self->m_connectTimer);
             if (code) {
                 self->shut();
-                handler(Error{ErrorCode::Unavailable,
-                              isTimeout ? "connect_timeout" : "connect_failed", code.message()});
+                handler(Error{ErrorCode::Unavailable, connectFailure(code), code.message()});
                 return;
             }
             if (self->m_probing == Probing::On)
@@ -206,6 +211,7 @@
     WireResponse response = m_parser->release();
     m_parser.reset();
     m_lastUsed = Clock::now();
+    m_hasServed = true;
     const ResponseHandler handler = std::exchange(m_handler, nullptr);
     notePersistence(response);
     // Bytes beyond the reply, or a request that is not sent whole, leave the stream out of step.
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -44,7 +44,8 @@
     ClientConnection(boost::asio::io_context &context, TimerQueue &timers, std::size_t maxBodyBytes,
                      Probing probing);
 
-    /// \brief Connects; Errors: Unavailable "connect_failed" or "connect_timeout".
+    /// \brief Connects; Errors: Unavailable "connect_failed", "connect_timeout", or "connect_reset"
+    /// by a server that listens and takes no further connection.
     void connect(const Endpoint &remote, Duration timeout, ConnectHandler handler);
     void onIdleClose(CloseHandler handler) { m_closeHandler = std::move(handler); }
 
@@ -58,6 +59,8 @@
     /// \brief True if a request can be sent now.
     bool isIdle() const { return m_isOpen && !m_handler && !m_isWriting; }
     bool isOpen() const { return m_isOpen; }
+    /// \brief True once the server has answered on this connection.
+    bool hasServed() const { return m_hasServed; }
     /// \brief Time of the last reply, or of the connect.
     TimePoint lastUsed() const { return m_lastUsed; }
     /// \brief Until when the server promised to keep the idle connection; max if it did not say.
@@ -93,6 +96,7 @@
     bool m_isOpen = false;
     bool m_isWriting = false;
     bool m_isHead = false;
+    bool m_hasServed = false;
 };
 
 } // namespace gwt
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -132,7 +132,7 @@
     void copy()
     {
         const auto request = m_follower.request(0ms);
-        m_follower.take(m_watcher.answer(request, true, start), start);
+        m_follower.take(m_watcher.answer(request, 0ms, start), start);
     }
 
     Recorder m_atWatcher;
@@ -163,7 +163,7 @@
     Recorder recorder;
     m_watcher.setConfig(makeConfig(3));
     m_watcher.setBackends({makeEntry("x")}, 10);
-    const auto reply = m_watcher.answer(m_follower.request(0ms), true, start);
+    const auto reply = m_watcher.answer(m_follower.request(0ms), 0ms, start);
     ASSERT_EQ(reply.config().routes_size(), 1);
     EXPECT_EQ(reply.config().routes(0).shards_size(), 2);
     EXPECT_EQ(reply.config().routes(0).target_ms(), 50);
@@ -175,7 +175,7 @@
 {
     m_watcher.setConfig(makeConfig(3));
     m_watcher.setBackends({makeEntry("x")}, 10);
-    const auto late = m_watcher.answer(m_follower.request(0ms), true, start);
+    const auto late = m_watcher.answer(m_follower.request(0ms), 0ms, start);
     m_watcher.setConfig(makeConfig(4));
     m_watcher.changeBackend({"x", std::nullopt}, 12);
     copy();
@@ -226,6 +226,7 @@
     }
     void rest() override { isFollowing = false; }
     bool isCurrent() const override { return isFollowing && isReachable; }
+    bool isLost() const override { return isFollowing && !isReachable; }
 
     bool isFollowing = false;
     bool isReachable = true;
@@ -259,8 +260,8 @@
     {
         std::vector<FleetMember> members;
         for (std::size_t i = 0; i < count; ++i) {
-            boost::asio::ip::tcp::acceptor probe(
-                m_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+            boost::asio::ip::tcp::acceptor probe(m_context,
+                                                 {boost::asio::ip::make_address("127.0.0.1"), 0});
             const std::uint16_t port = probe.local_endpoint().port();
             members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}});
         }
@@ -307,5 +308,32 @@
     EXPECT_TRUE(test::runUntil(m_context, [&] { return allHold(3); }));
 }
 
+TEST_F(StateSharingTest, whenAllWatchersAreCutOffOthersTakeTheirPlace)
+{
+    makeProcesses(7);
+    for (const auto &process : m_processes)
+        ASSERT_TRUE(isOk(process->sharing.start()));
+    const auto isSettled = [&] { return allHold(3) && following() == SourceTree::s_watchers; };
+    ASSERT_TRUE(test::runUntil(m_context, isSettled));
+    std::vector<Process *> cut;
+    for (const auto &process : m_processes) {
+        if (!process->feed.isFollowing)
+            continue;
+        process->feed.isReachable = false;
+        cut.push_back(process.get());
+    }
+    // They keep asking each other and the rest, and none of them may pass for up to date by that.
+    const auto isReplaced = [&] {
+        return std::any_of(m_processes.begin(), m_processes.end(),
+                           [](const auto &process) { return process->feed.isCurrent(); });
+    };
+    EXPECT_TRUE(test::runUntil(m_context, isReplaced));
+    for (const auto &process : m_processes) {
+        if (process->feed.isCurrent())
+            process->state.setConfig(makeConfig(8));
+    }
+    EXPECT_TRUE(test::runUntil(m_context, [&] { return allHold(8); }));
+}
+
 } // namespace
 } // namespace gwt
--- a/test/GatewayPolicyTest.cpp
+++ b/test/GatewayPolicyTest.cpp
@@ -4,6 +4,7 @@
 #include "gateway/policy/AnswerPolicy.h"
 #include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
+#include "gateway/policy/LogBudget.h"
 #include "gateway/policy/RepeatBudget.h"
 
 #include <gtest/gtest.h>
@@ -141,6 +142,18 @@
     EXPECT_FALSE(down.isPaused(start + 500ms));
 }
 
+TEST(LogBudgetTest, aFloodOfServedRequestsTakesNoLineOfAFailure)
+{
+    LogBudget budget;
+    int served = 0;
+    for (int i = 0; i < 10000; ++i)
+        served += budget.takeServed(start) ? 1 : 0;
+    EXPECT_EQ(served, static_cast<int>(LogBudget::s_servedPerSecond));
+    EXPECT_TRUE(budget.takeUnserved(start));
+    EXPECT_FALSE(budget.takeServed(start));
+    EXPECT_TRUE(budget.takeServed(start + 1s));
+}
+
 struct ConnectionCase
 {
     int maxConnections;
@@ -158,9 +171,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Fleets, ConnectionShareTest,
-                         testing::Values(ConnectionCase{26, 7, 3}, ConnectionCase{25, 6, 3},
-                                         ConnectionCase{100, 7, 14}, ConnectionCase{55, 66, 1},
-                                         ConnectionCase{26, 0, 24}, ConnectionCase{0, 7, 1}));
+                         testing::Values(ConnectionCase{26, 7, 2}, ConnectionCase{25, 6, 3},
+                                         ConnectionCase{100, 7, 13}, ConnectionCase{55, 66, 1},
+                                         ConnectionCase{26, 0, 25}, ConnectionCase{0, 7, 1}));
 
 std::string record(char first, char last)
 {
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -182,6 +182,17 @@
     EXPECT_EQ(second.requests().size(), 5U);
 }
 
+TEST_F(GatewayTest, aServerAtItsConnectionLimitIsWaitedForAndNotTakenForDead)
+{
+    ScriptedServer &server = addServer("s", {okBody("ok")});
+    server.setFull(true);
+    addSingleRoute(true);
+    start();
+    m_timers.after(150ms, [&] { server.setFull(false); });
+    EXPECT_EQ(ask("/one/1", "X-Deadline-Ms: 1500\r\n").result_int(), 200U);
+    EXPECT_LT(server.accepted(), 8) << "connections must not be tried without a pause";
+}
+
 TEST_F(GatewayTest, aConfigurationNeverGoesBack)
 {
     addServer("s", {okBody("new")});
--- a/test/ProcessFleet.cpp
+++ b/test/ProcessFleet.cpp
@@ -198,6 +198,7 @@
     ::posix_spawn_file_actions_init(&actions);
     ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                        O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     std::string option = "--config";
     std::vector<char *> arguments = {const_cast<char *>(program.c_str()), option.data(),
                                      const_cast<char *>(settings.c_str()), nullptr};
--- a/test/ScriptedServer.cpp
+++ b/test/ScriptedServer.cpp
@@ -51,6 +51,13 @@
         if (failure)
             return;
         ++m_accepted;
+        if (m_isFull) {
+            error_code ignored;
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
+            accept();
+            return;
+        }
         m_sessions.push_back(std::make_shared<Session>(std::move(socket)));
         read(m_sessions.back());
         accept();
--- a/test/ScriptedServer.h
+++ b/test/ScriptedServer.h
@@ -40,6 +40,8 @@
     int closedByPeer() const { return m_closedByPeer; }
     int accepted() const { return m_accepted; }
     void setScript(Script script) { m_script = std::move(script); }
+    /// \brief Resets each connection that comes from now on, as a server at its limit does.
+    void setFull(bool isFull) { m_isFull = isFull; }
     /// \brief Closes all connections.
     void closeAll();
 
@@ -59,6 +61,7 @@
     std::vector<ServerRequest> m_requests;
     int m_closedByPeer = 0;
     int m_accepted = 0;
+    bool m_isFull = false;
 };
 
 /// \brief An HTTP response with \a fields (each ended by CRLF) and \a body.
