--- a/src/gateway/callers/CallerServer.cpp
+++ b/src/gateway/callers/CallerServer.cpp
@@ -15,9 +15,8 @@
 
 } // namespace
 
-CallerServer::CallerServer(boost::asio::io_context &context, CallerContext callers)
-    : m_context(context)
-    , m_callers(std::move(callers))
+CallerServer::CallerServer(boost::asio::io_context &context, const CallerContext &callers)
+    : m_callers(callers)
     , m_acceptor(context)
 { }
 
--- a/src/gateway/callers/CallerServer.h
+++ b/src/gateway/callers/CallerServer.h
@@ -14,7 +14,7 @@
 class CallerServer
 {
 public:
-    CallerServer(boost::asio::io_context &context, CallerContext callers);
+    CallerServer(boost::asio::io_context &context, const CallerContext &callers);
 
     /// \brief Errors: Unavailable "listen_failed".
     Outcome<Endpoint> listen(const Endpoint &local);
@@ -30,7 +30,6 @@
     void accept();
     void prune();
 
-    boost::asio::io_context &m_context;
     CallerContext m_callers;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<CallerConnection>> m_connections;
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -165,11 +165,15 @@
 
 bool ServiceCall::retryOverLimit(const LegReply &reply, TimePoint now)
 {
-    // The same server again: another one could make one more that may have run it.
+    if (std::find(m_tried.begin(), m_tried.end(), reply.backendId) == m_tried.end())
+        m_tried.push_back(reply.backendId);
     if (!m_legs.empty() || !m_pool.budget().take(now, m_context.fleetSize))
         return false;
     countRepeat("over_limit");
-    send(reply.backendId);
+    // It may have run after all: no more servers are asked than the route allows to run it.
+    const bool mayAskAnother = static_cast<int>(m_tried.size()) < m_plan.route->maxAttempts
+        && m_pool.hasServer(now, m_tried);
+    send(mayAskAnother ? std::string() : reply.backendId);
     return true;
 }
 
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -42,7 +42,8 @@
     , m_executor(context.get_executor())
     , m_state(state)
     , m_feed(feed)
-    , m_metrics(metrics)
+    , m_pollsFailed(metrics.counter("gwt_gateway_polls_failed_total",
+                                    "Questions to other processes that got no useful answer"))
     , m_tree(m_options.self.name)
     , m_client(m_executor, connectTimeout)
     , m_server(m_executor)
@@ -122,7 +123,7 @@
             co_await sleepFor(watchCheck);
             continue;
         }
-        const FleetMember source = known[m_turn++ % known.size()];
+        const FleetMember &source = known[m_turn++ % known.size()];
         const bool isGood = co_await askOne(source);
         co_await sleepFor(isGood ? gatherPause : silencePause);
     }
@@ -137,6 +138,7 @@
         m_client, source.peer, statePath, request, requestId, deadline, cancel);
     const TimePoint now = Clock::now();
     if (!isOk(reply)) {
+        m_pollsFailed.Increment();
         logInfo("source_silent", {{"source", source.name}, {"reason", errorOf(reply).reason}});
         m_tree.noteSilent(source.name, now);
         co_return false;
@@ -146,6 +148,7 @@
     m_heardAt = std::max(m_heardAt, now - age);
     if (valueOf(reply).has_lost_registry()) {
         // Left out, so that the members after it move up and follow the registry in its place.
+        m_pollsFailed.Increment();
         logInfo("source_outdated", {{"source", source.name}, {"registry_age_ms", age.count()}});
         m_tree.noteSilent(source.name, now);
         co_return false;
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -44,7 +44,7 @@
     const Executor m_executor;
     FleetState &m_state;
     RegistryFeed &m_feed;
-    Metrics &m_metrics;
+    prometheus::Counter &m_pollsFailed;
     SourceTree m_tree;
     PeerClient m_client;
     PeerServer m_server;
--- a/test/BackendRegistryTest.cpp
+++ b/test/BackendRegistryTest.cpp
@@ -21,6 +21,7 @@
 std::vector<std::string> idsOf(const std::vector<BackendChange> &changes)
 {
     std::vector<std::string> ids;
+    ids.reserve(changes.size());
     for (const BackendChange &change : changes)
         ids.push_back((change.entry ? "+" : "-") + change.id);
     return ids;
--- a/test/PagesTest.cpp
+++ b/test/PagesTest.cpp
@@ -68,7 +68,7 @@
     testing::Values(PageCase{"METRICS.md", "\\| `(gwt_[a-z0-9_]+)` \\|", "\"(gwt_[a-z0-9_]+)\""},
                     PageCase{"EVENTS.md", "\\| `([a-z0-9_]+)` \\|",
                              "log(?:Debug|Info|Warning|Error)\\(\\s*\"([a-z0-9_]+)\""},
-                    PageCase{"OPERATING.md", "\\| `" + settingsKey + "` \\|",
+                    PageCase{"OPERATIONS.md", "\\| `" + settingsKey + "` \\|",
                              "\"" + settingsKey + "\""}),
     [](const auto &info) { return info.param.page.substr(0, info.param.page.find('.')); });
 
--- a/test/SnippetsTest.sh
+++ b/test/SnippetsTest.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the commands of README.md and docs/OPERATING.md as they stand, against a fleet of stand-ins
+# Runs the commands of README.md and docs/OPERATIONS.md as they stand, against a fleet of stand-ins
 # and daemons on free loopback addresses. Usage: SnippetsTest.sh BUILD
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -50,9 +50,9 @@
 }
 
 check_settings() {
-    sed -nE '/^ +\[daemon\]$/,/^   [^ ]/ s/^ {7}//p' docs/OPERATING.md >"$folder/relay.toml"
-    grep -q '^peer = ' "$folder/relay.toml" || fail "no settings in OPERATING.md"
-    (cd "$folder" && gwt-relay --config relay.toml --check-config) || fail "the settings of OPERATING.md"
+    sed -nE '/^ +\[daemon\]$/,/^   [^ ]/ s/^ {7}//p' docs/OPERATIONS.md >"$folder/relay.toml"
+    grep -q '^peer = ' "$folder/relay.toml" || fail "no settings in OPERATIONS.md"
+    (cd "$folder" && gwt-relay --config relay.toml --check-config) || fail "the settings of OPERATIONS.md"
 }
 
 # Each key of the sample answer in README.md must be in the answer that the search gave.
@@ -79,6 +79,6 @@
 check_settings
 run_commands "$source_dir/README.md"
 check_answer
-run_commands "$source_dir/docs/OPERATING.md"
+run_commands "$source_dir/docs/OPERATIONS.md"
 echo "$failures failures"
 [ "$failures" -eq 0 ]
--- /dev/null
+++ b/test/soak/LoopbackProxy.cpp
@@ -0,0 +1,118 @@
+#include "LoopbackProxy.h"
+
+#include <array>
+
+namespace gwt::test {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr Milliseconds delay{80};
+
+} // namespace
+
+struct LoopbackProxy::Link
+{
+    Link(asio::ip::tcp::socket accepted, asio::io_context &context)
+        : caller(std::move(accepted))
+        , server(context)
+    { }
+
+    asio::ip::tcp::socket caller;
+    asio::ip::tcp::socket server;
+    std::array<std::array<char, 16384>, 2> buffers{};
+};
+
+LoopbackProxy::LoopbackProxy(asio::io_context &context, TimerQueue &timers, Endpoint target)
+    : m_context(context)
+    , m_timers(timers)
+    , m_target(std::move(target))
+    , m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+{
+    accept();
+}
+
+Endpoint LoopbackProxy::endpoint() const
+{
+    return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+}
+
+void LoopbackProxy::reset(Link &link)
+{
+    error_code ignored;
+    link.caller.set_option(asio::socket_base::linger(true, 0), ignored);
+    link.caller.close(ignored);
+    link.server.close(ignored);
+}
+
+void LoopbackProxy::setMode(Mode mode)
+{
+    m_mode = mode;
+    std::erase_if(m_links, [](const auto &weak) { return weak.expired(); });
+    if (mode != Mode::Resets)
+        return;
+    for (const auto &weak : m_links) {
+        if (const auto link = weak.lock())
+            reset(*link);
+    }
+}
+
+void LoopbackProxy::accept()
+{
+    m_acceptor.async_accept([this](const error_code &failure, asio::ip::tcp::socket socket) {
+        if (failure)
+            return;
+        const auto link = std::make_shared<Link>(std::move(socket), m_context);
+        m_links.push_back(link);
+        accept();
+        if (m_mode == Mode::Resets) {
+            reset(*link);
+            return;
+        }
+        link->server.async_connect({asio::ip::make_address(m_target.address), m_target.port},
+                                   [this, link](const error_code &refused) {
+                                       if (refused) {
+                                           reset(*link);
+                                           return;
+                                       }
+                                       pump(link, false);
+                                       pump(link, true);
+                                   });
+    });
+}
+
+void LoopbackProxy::pump(const std::shared_ptr<Link> &link, bool isReply)
+{
+    auto &from = isReply ? link->server : link->caller;
+    from.async_read_some(asio::buffer(link->buffers.at(isReply ? 1 : 0)),
+                         [this, link, isReply](const error_code &failure, std::size_t count) {
+                             if (failure) {
+                                 error_code ignored;
+                                 link->caller.close(ignored);
+                                 link->server.close(ignored);
+                                 return;
+                             }
+                             if (m_mode == Mode::Delays)
+                                 m_timers.after(delay, [this, link, isReply, count] {
+                                     forward(link, isReply, count);
+                                 });
+                             else
+                                 forward(link, isReply, count);
+                         });
+}
+
+void LoopbackProxy::forward(const std::shared_ptr<Link> &link, bool isReply, std::size_t count)
+{
+    const bool isSilent
+        = m_mode == Mode::SilencesAll || (m_mode == Mode::SilencesReplies && isReply);
+    if (!isSilent) {
+        auto &to = isReply ? link->caller : link->server;
+        error_code ignored;
+        asio::write(to, asio::buffer(link->buffers.at(isReply ? 1 : 0).data(), count), ignored);
+    }
+    pump(link, isReply);
+}
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/Soak.cpp
@@ -0,0 +1,277 @@
+#include "Soak.h"
+
+#include <filesystem>
+
+namespace gwt::test {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Milliseconds faultPause{250}; ///< mean time between faults
+constexpr Milliseconds faultLength{900}; ///< mean length of one
+constexpr Milliseconds restartDelay{200};
+constexpr Milliseconds watchInterval{20};
+/// Entries that lapsed have 2 s to come back, excluded members 8 s at most.
+constexpr std::chrono::seconds recoveryTime{4};
+constexpr std::chrono::seconds settleTime{2};
+constexpr int versionBackends = 64; ///< more than a soak publishes versions
+
+std::string makeFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "gwt-soak-XXXXXX").string();
+    return ::mkdtemp(pattern.data());
+}
+
+} // namespace
+
+const std::vector<Soak::Fault> Soak::s_faults = {
+    {"store unavailable", &Soak::storeUnavailable},
+    {"store resets", &Soak::storeResets},
+    {"store silent", &Soak::storeSilent},
+    {"store cut from one gateway", &Soak::storeCut},
+    {"backend slow", &Soak::backendSlow},
+    {"backend full", &Soak::backendFull},
+    {"backend fails", &Soak::backendFails},
+    {"backend loses replies", &Soak::backendLosesReplies},
+    {"backend repeats replies", &Soak::backendRepeatsReplies},
+    {"backend cut", &Soak::backendCut},
+    {"backend leaves", &Soak::backendLeaves},
+    {"gateway killed", &Soak::gatewayKilled},
+    {"gateway stopped", &Soak::gatewayStopped},
+    {"gateway paused", &Soak::gatewayPaused},
+    {"gateway reloads", &Soak::gatewayReloads},
+    {"configuration changes", &Soak::configChanges},
+};
+
+Soak::Soak(SoakOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_folder(makeFolder())
+{
+    const auto addBackend = [&](auto &backends, const std::string &service, int replica) {
+        backends.push_back(std::make_unique<SoakBackend>(
+            m_context, m_timers, service, "i-" + service + "-" + std::to_string(replica), m_runs,
+            m_random()));
+        registerBackend(*backends.back(), "ready");
+    };
+    for (int shard = 0; shard < m_options.shards; ++shard) {
+        m_shards.push_back("shard-" + std::to_string(shard));
+        addBackend(m_backends, m_shards.back(), 1);
+        addBackend(m_backends, m_shards.back(), 2);
+    }
+    for (int replica = 1; replica <= 3; ++replica)
+        addBackend(m_backends, "single", replica);
+    for (int version = 1; version <= versionBackends; ++version)
+        addBackend(m_versionBackends, "version-" + std::to_string(version), 1);
+    publish();
+    for (int i = 0; i < m_options.gateways; ++i) {
+        m_storeProxies.push_back(
+            std::make_unique<LoopbackProxy>(m_context, m_timers, m_store.endpoint()));
+        m_gateways.push_back(
+            std::make_unique<SoakGateway>(m_folder, i, m_storeProxies.back()->endpoint()));
+    }
+    for (int i = 0; i < m_options.callers; ++i) {
+        SoakGateway &gateway = *m_gateways[static_cast<std::size_t>(i % m_options.gateways)];
+        m_callers.push_back(std::make_unique<SoakCaller>(m_context, m_timers, gateway, m_shards,
+                                                         "caller-" + std::to_string(i), m_random(),
+                                                         m_findings));
+    }
+}
+
+Soak::~Soak() = default;
+
+template <typename T>
+T &Soak::anyOf(std::vector<std::unique_ptr<T>> &things)
+{
+    return *things[m_random() % things.size()];
+}
+
+void Soak::registerBackend(SoakBackend &backend, const std::string &state)
+{
+    const json::object entry{{"service", backend.service()},
+                             {"address", toString(backend.endpoint())},
+                             {"zone", "z"},
+                             {"version", "v1"},
+                             {"slots", 2},
+                             {"state", state},
+                             {"seq", 1},
+                             {"warmupLeftMs", 0}};
+    m_store.put("servers", backend.id(), entry);
+}
+
+void Soak::publish()
+{
+    if (m_version >= versionBackends)
+        return;
+    ++m_version;
+    json::array gather;
+    json::array services;
+    for (const std::string &shard : m_shards) {
+        gather.emplace_back(shard);
+        services.push_back({{"name", shard}, {"healthPath", "/h"}, {"maxConnections", 20}});
+    }
+    const std::string versionService = "version-" + std::to_string(m_version);
+    services.push_back({{"name", "single"}, {"healthPath", "/h"}, {"maxConnections", 30}});
+    services.push_back({{"name", versionService}, {"healthPath", "/h"}, {"maxConnections", 30}});
+    const auto route = [](const char *name, const char *prefix, const char *kind) {
+        return json::object{{"name", name},      {"hostname", "soak"}, {"pathPrefix", prefix},
+                            {"routeType", kind}, {"timeoutMs", 900},   {"targetLatencyMs", 100},
+                            {"priority", 1},     {"attempts", 2}};
+    };
+    json::object query = route("query", "/all/", "idempotent");
+    query["gather"] = gather;
+    query["topK"] = 5;
+    query["minShare"] = 0.5;
+    json::object safe = route("safe", "/safe/", "idempotent");
+    safe["service"] = "single";
+    json::object once = route("once", "/once/", "non_idempotent");
+    once["service"] = "single";
+    json::object version = route("version", "/version/", "idempotent");
+    version["service"] = versionService;
+    m_store.put("config", "main",
+                json::object{{"version", m_version},
+                             {"routes", json::array{query, safe, once, version}},
+                             {"services", services}});
+}
+
+std::vector<Endpoint> Soak::seeds() const
+{
+    std::vector<Endpoint> seeds;
+    for (const auto &gateway : m_gateways)
+        seeds.push_back(gateway->peer());
+    return seeds;
+}
+
+void Soak::later(std::function<void()> action)
+{
+    const auto length = static_cast<std::uint64_t>(faultLength.count());
+    m_timers.after(Milliseconds(static_cast<std::int64_t>(length / 3 + m_random() % length)),
+                   std::move(action));
+}
+
+void Soak::disturbStore(FakeStore::Mode mode)
+{
+    m_store.setMode(mode);
+    later([this] { m_store.setMode(FakeStore::Mode::Answers); });
+}
+
+void Soak::disturbBackend(SoakBackend::Mode mode)
+{
+    SoakBackend &backend = anyOf(m_backends);
+    backend.setMode(mode);
+    later([&backend] { backend.setMode(SoakBackend::Mode::Serves); });
+}
+
+void Soak::disturbProxy(LoopbackProxy &proxy)
+{
+    using Mode = LoopbackProxy::Mode;
+    constexpr std::array modes{Mode::Delays, Mode::SilencesReplies, Mode::SilencesAll,
+                               Mode::Resets};
+    proxy.setMode(modes.at(m_random() % modes.size()));
+    later([&proxy] {
+        // What was silenced is lost: its connections end with the fault.
+        proxy.setMode(Mode::Resets);
+        proxy.setMode(Mode::Passes);
+    });
+}
+
+void Soak::backendLeaves()
+{
+    SoakBackend &backend = anyOf(m_backends);
+    registerBackend(backend, "draining");
+    later([this, &backend] { registerBackend(backend, "ready"); });
+}
+
+void Soak::gatewayPaused()
+{
+    SoakGateway &gateway = anyOf(m_gateways);
+    const int start = gateway.starts();
+    gateway.signal(SIGSTOP);
+    later([&gateway, start] {
+        if (gateway.starts() == start)
+            gateway.signal(SIGCONT);
+    });
+}
+
+void Soak::scheduleFault()
+{
+    const auto pause = static_cast<std::uint64_t>(faultPause.count());
+    m_timers.after(Milliseconds(static_cast<std::int64_t>(m_random() % (2 * pause))), [this] {
+        if (!m_isFaulty)
+            return;
+        const Fault &fault = s_faults[m_random() % s_faults.size()];
+        (this->*fault.strike)();
+        scheduleFault();
+    });
+}
+
+void Soak::keepRunning()
+{
+    for (const auto &gateway : m_gateways) {
+        const std::optional<int> status = gateway->reap();
+        if (!status)
+            continue;
+        if (*status != 0 && *status != -SIGKILL) {
+            m_findings.broken.push_back(gateway->name() + " ended by itself with status "
+                                        + std::to_string(*status));
+        }
+        m_timers.after(restartDelay, [this, &gateway] { gateway->start(seeds()); });
+    }
+    m_timers.after(watchInterval, [this] { keepRunning(); });
+}
+
+void Soak::checkRuns()
+{
+    for (const auto &[id, runs] : m_runs) {
+        if (runs > 1 && SoakCaller::isUnsafe(id)) {
+            m_findings.broken.push_back("an unsafe request ran " + std::to_string(runs)
+                                        + " times: " + id);
+        }
+    }
+    for (const std::string &id : m_findings.refused) {
+        if (m_runs.contains(id))
+            m_findings.broken.push_back("a request ran that was refused as not run: " + id);
+    }
+}
+
+void Soak::checkRecovery()
+{
+    const int before = m_findings.served;
+    const int failuresBefore = m_findings.failures + m_findings.refusals;
+    runUntil(
+        m_context, [] { return false; }, settleTime);
+    const int served = m_findings.served - before;
+    const int unserved = m_findings.failures + m_findings.refusals - failuresBefore;
+    if (served * 4 < served + unserved || served == 0) {
+        m_findings.broken.push_back("after the faults " + std::to_string(served)
+                                    + " requests were served and " + std::to_string(unserved)
+                                    + " were not");
+    }
+}
+
+std::vector<std::string> Soak::run()
+{
+    for (const auto &gateway : m_gateways)
+        gateway->start(seeds());
+    keepRunning();
+    runUntil(
+        m_context, [] { return false; }, std::chrono::seconds(1));
+    for (const auto &caller : m_callers)
+        caller->start();
+    scheduleFault();
+    runUntil(
+        m_context, [] { return false; }, m_options.length);
+    m_isFaulty = false;
+    runUntil(
+        m_context, [] { return false; }, recoveryTime);
+    checkRecovery();
+    for (const auto &caller : m_callers)
+        caller->stop();
+    runUntil(
+        m_context, [] { return false; }, settleTime);
+    checkRuns();
+    return m_findings.broken;
+}
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/SoakBackend.cpp
@@ -0,0 +1,65 @@
+#include "SoakBackend.h"
+
+namespace gwt::test {
+
+namespace {
+
+constexpr std::size_t recordBytes = 16;
+constexpr int recordsOfAShard = 6;
+constexpr Milliseconds slowWork{300};
+
+} // namespace
+
+SoakBackend::SoakBackend(boost::asio::io_context &context, TimerQueue &timers, std::string service,
+                         std::string id, RunCounts &runs, std::uint64_t seed)
+    : m_service(std::move(service))
+    , m_id(std::move(id))
+    , m_runs(runs)
+    , m_random(seed)
+    , m_server(context, timers, [this](const ServerRequest &request) { return answer(request); })
+    , m_proxy(context, timers, m_server.endpoint())
+{ }
+
+std::string SoakBackend::records(const std::string &service, const std::string &id)
+{
+    RandomEngine random(std::hash<std::string>{}(service + id));
+    std::string bytes;
+    for (std::size_t i = 0; i < recordsOfAShard * recordBytes; ++i)
+        bytes += static_cast<char>('a' + random() % 26);
+    return bytes;
+}
+
+std::string SoakBackend::signature(const std::string &service, const std::string &id)
+{
+    return "signed." + service + "." + id;
+}
+
+ScriptedReply SoakBackend::answer(const ServerRequest &request)
+{
+    const std::string id(request["X-Request-Id"]);
+    if (request["X-Target-Instance"] != m_id)
+        return {httpResponse(421, "X-Instance-Id: " + m_id + "\r\n", "")};
+    if (m_mode == Mode::Full)
+        return {httpResponse(503, "X-Not-Executed: 1\r\n", "")};
+    ++m_runs[id];
+    const std::string fields = "X-Server-Stamp: " + signature(m_service, id)
+        + "\r\nX-Request-Id: " + id + "\r\nX-Instance-Id: " + m_id + "\r\n";
+    const std::string good = httpResponse(200, fields, records(m_service, id));
+    const Milliseconds work(1 + static_cast<int>(m_random() % 6));
+    switch (m_mode) {
+    case Mode::Slow:
+        return {good, slowWork};
+    case Mode::Fails:
+        return {httpResponse(500, fields, "failed"), work};
+    case Mode::LosesReplies:
+        return {"", work, true};
+    case Mode::RepeatsReplies:
+        return {good + good, work};
+    case Mode::Serves:
+    case Mode::Full:
+        break;
+    }
+    return {good, work};
+}
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/SoakCaller.cpp
@@ -0,0 +1,169 @@
+#include "SoakCaller.h"
+
+#include "gateway/forwarding/RecordMerge.h"
+
+#include <set>
+#include <sstream>
+
+namespace gwt::test {
+
+namespace {
+
+enum Kind { Query, Safe, Unsafe, Version, KindCount };
+
+constexpr const char *paths[KindCount] = {"/all/1", "/safe/1", "/once/1", "/version/1"};
+constexpr const char *unsafeMark = "-once-";
+constexpr Milliseconds pause{15};
+constexpr Milliseconds deadline{900};
+/// An answer may take the deadline and a little more; then the caller leaves.
+constexpr Milliseconds patience{1200};
+constexpr std::size_t topRecords = 5;
+
+std::set<std::string> split(const std::string &text)
+{
+    std::set<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; stream >> part;) {
+        if (part.back() == ',')
+            part.pop_back();
+        parts.insert(part);
+    }
+    return parts;
+}
+
+} // namespace
+
+SoakCaller::SoakCaller(boost::asio::io_context &context, TimerQueue &timers, SoakGateway &gateway,
+                       std::vector<std::string> shards, std::string name, std::uint64_t seed,
+                       SoakFindings &findings)
+    : m_context(context)
+    , m_timers(timers)
+    , m_gateway(gateway)
+    , m_shards(std::move(shards))
+    , m_name(std::move(name))
+    , m_random(seed)
+    , m_findings(findings)
+{ }
+
+bool SoakCaller::isUnsafe(const std::string &id)
+{
+    return id.find(unsafeMark) != std::string::npos;
+}
+
+void SoakCaller::report(const std::string &what, const std::string &id)
+{
+    m_findings.broken.push_back(what + ", request " + id + " at " + m_gateway.name());
+}
+
+void SoakCaller::ask()
+{
+    if (m_isStopped)
+        return;
+    if (m_connection && m_connection->isIdle())
+        send();
+    else
+        connect();
+}
+
+void SoakCaller::connect()
+{
+    m_connection = std::make_shared<ClientConnection>(m_context, m_timers, 1U << 20U,
+                                                      ClientConnection::Probing::Off);
+    m_connection->connect(m_gateway.callers(), Milliseconds(500),
+                          [this](const Outcome<Done> &outcome) {
+                              if (!isOk(outcome)) {
+                                  m_timers.after(Milliseconds(50), [this] { ask(); });
+                                  return;
+                              }
+                              if (m_versionOfStart != m_gateway.starts())
+                                  m_lastVersion = 0;
+                              m_versionOfStart = m_gateway.starts();
+                              send();
+                          });
+}
+
+void SoakCaller::send()
+{
+    const int kind = static_cast<int>(m_random() % KindCount);
+    const std::string id
+        = m_name + (kind == Unsafe ? unsafeMark : "-") + std::to_string(++m_number);
+    const std::string bytes = "GET " + std::string(paths[kind])
+        + " HTTP/1.1\r\nHost: soak\r\nX-Request-Id: " + id
+        + "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n\r\n";
+    m_patience = m_timers.after(patience, [this] {
+        m_connection->close();
+        ++m_findings.failures;
+        ask();
+    });
+    m_connection->exchange(bytes, false, nullptr, [this, id, kind](Outcome<WireResponse> outcome) {
+        m_timers.cancel(m_patience);
+        onAnswer(id, kind, outcome);
+        m_timers.after(pause, [this] { ask(); });
+    });
+}
+
+void SoakCaller::onAnswer(const std::string &id, int kind, const Outcome<WireResponse> &outcome)
+{
+    if (!isOk(outcome)) {
+        if (errorOf(outcome).code == ErrorCode::Malformed)
+            report("bytes that are no answer: " + errorOf(outcome).detail, id);
+        ++m_findings.failures;
+        return;
+    }
+    const WireResponse &response = valueOf(outcome);
+    if (response.result_int() == 503) {
+        ++m_findings.refusals;
+        if (kind == Unsafe)
+            m_findings.refused.push_back(id);
+        return;
+    }
+    if (response.result_int() == 404)
+        report("a route that every configuration has was not found", id);
+    if (response.result_int() != 200) {
+        ++m_findings.failures;
+        return;
+    }
+    ++m_findings.served;
+    if (kind == Query)
+        checkQuery(id, response);
+    else if (kind == Version)
+        checkVersion(response);
+    else
+        checkSingle(id, response);
+}
+
+void SoakCaller::checkSingle(const std::string &id, const WireResponse &response)
+{
+    const bool isOwn = response["X-Server-Stamp"] == SoakBackend::signature("single", id)
+        && response.body() == SoakBackend::records("single", id);
+    if (!isOwn)
+        report("an answer that is not the backend server's", id);
+}
+
+void SoakCaller::checkQuery(const std::string &id, const WireResponse &response)
+{
+    const std::set<std::string> signatures = split(std::string(response["X-Part-Stamps"]));
+    std::vector<std::string> records;
+    for (const std::string &shard : m_shards) {
+        if (signatures.contains(SoakBackend::signature(shard, id)))
+            records.push_back(SoakBackend::records(shard, id));
+    }
+    const std::size_t missing = std::stoul(std::string(response["X-Missing-Parts"]));
+    if (records.size() != signatures.size() || records.size() + missing != m_shards.size())
+        report("coverage that is not what the answer holds", id);
+    const std::vector<std::string_view> parts(records.begin(), records.end());
+    if (response.body() != FixedSizeMerge(16).merge(parts, topRecords))
+        report("records that are not the greatest of the shards named", id);
+}
+
+void SoakCaller::checkVersion(const WireResponse &response)
+{
+    // The signature names the service, and the service the version that leads to it.
+    const std::string signature(response["X-Server-Stamp"]);
+    const int version = std::stoi(signature.substr(signature.find("version-") + 8));
+    if (version < m_lastVersion)
+        report("a configuration that went back from " + std::to_string(m_lastVersion), signature);
+    m_lastVersion = version;
+}
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/SoakCaller.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "SoakBackend.h"
+#include "SoakGateway.h"
+
+#include "http/ClientConnection.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace gwt::test {
+
+/// \brief What the callers of one soak have seen.
+struct SoakFindings
+{
+    std::vector<std::string> broken; ///< promises that were broken, in words
+    std::vector<std::string> refused; ///< unsafe requests that were said not to have run
+    int served = 0;
+    int refusals = 0;
+    int failures = 0;
+};
+
+/// \brief One caller: keeps its connection until the gateway closes it, asks again and again, and
+/// checks each answer against what the backend servers hold.
+class SoakCaller
+{
+public:
+    SoakCaller(boost::asio::io_context &context, TimerQueue &timers, SoakGateway &gateway,
+               std::vector<std::string> shards, std::string name, std::uint64_t seed,
+               SoakFindings &findings);
+
+    /// \brief True if the request with \a id may run once at most.
+    static bool isUnsafe(const std::string &id);
+
+    void start() { ask(); }
+    void stop() { m_isStopped = true; }
+
+private:
+    void ask();
+    void connect();
+    void send();
+    void onAnswer(const std::string &id, int kind, const Outcome<WireResponse> &outcome);
+    void checkSingle(const std::string &id, const WireResponse &response);
+    void checkQuery(const std::string &id, const WireResponse &response);
+    void checkVersion(const WireResponse &response);
+    void report(const std::string &what, const std::string &id);
+
+    boost::asio::io_context &m_context;
+    TimerQueue &m_timers;
+    SoakGateway &m_gateway;
+    const std::vector<std::string> m_shards;
+    const std::string m_name;
+    RandomEngine m_random;
+    SoakFindings &m_findings;
+    std::shared_ptr<ClientConnection> m_connection;
+    TimerQueue::Id m_patience;
+    int m_number = 0;
+    int m_lastVersion = 0;
+    int m_versionOfStart = 0;
+    bool m_isStopped = false;
+};
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/SoakGateway.cpp
@@ -0,0 +1,95 @@
+#include "SoakGateway.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace gwt::test {
+
+namespace {
+
+/// A loopback address of the gateway's own: a free port of a shared one may be taken by somebody's
+/// outgoing connection while the process is down.
+std::string ownAddress(int number)
+{
+    const int process = static_cast<int>(::getpid());
+    return "127." + std::to_string(100 + process / 250 % 100) + "." + std::to_string(process % 250)
+        + "." + std::to_string(10 + number);
+}
+
+std::string quoted(const Endpoint &endpoint)
+{
+    return "\"" + toString(endpoint) + "\"";
+}
+
+} // namespace
+
+SoakGateway::SoakGateway(std::string folder, int number, Endpoint store)
+    : m_folder(std::move(folder))
+    , m_name("gateway-" + std::to_string(number))
+    , m_store(std::move(store))
+    , m_callers(ownAddress(number), 7001)
+    , m_readiness(ownAddress(number), 7002)
+    , m_peer(ownAddress(number), 7003)
+{ }
+
+SoakGateway::~SoakGateway()
+{
+    if (m_pid <= 0)
+        return;
+    ::kill(m_pid, SIGKILL);
+    ::waitpid(m_pid, nullptr, 0);
+}
+
+void SoakGateway::start(const std::vector<Endpoint> &seeds)
+{
+    const std::string settings = m_folder + "/" + m_name + ".toml";
+    std::string seedList;
+    for (const Endpoint &seed : seeds)
+        seedList += (seedList.empty() ? "" : ", ") + quoted(seed);
+    std::ofstream(settings) << "nodeName = \"" << m_name << "\"\nzone = \"z\"\nseedNodes = ["
+                            << seedList << "]\n[listen]\nfront = " << quoted(m_callers)
+                            << "\nready = " << quoted(m_readiness)
+                            << "\ncontrolPlane = " << quoted(m_peer)
+                            << "\n[bounds]\ngraceS = 6\ndrainMs = 3000\nretryBudgetRatio = 0.2\n"
+                               "budgetWindowS = 10\nretryBudgetExtra = 200\n[platform]\naddress = "
+                            << quoted(m_store) << "\nreadsPerS = 2000\n";
+    const std::string log = m_folder + "/" + m_name + ".log";
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
+    std::string program = GWT_BIN_DIR;
+    program.append("/gwt-gateway");
+    std::string variable = "GODWITTRAY_SETTINGS=";
+    variable.append(settings);
+    char *arguments[] = {program.data(), nullptr};
+    char *environment[] = {variable.data(), nullptr};
+    const int failure
+        = ::posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments, environment);
+    ::posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        m_pid = 0;
+    ++m_starts;
+}
+
+void SoakGateway::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+std::optional<int> SoakGateway::reap()
+{
+    int status = 0;
+    if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return std::nullopt;
+    m_pid = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/SoakGateway.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "common/Endpoint.h"
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gwt::test {
+
+/// \brief A gwt-gateway process that the soak starts, signals and ends by its id.
+class SoakGateway
+{
+public:
+    /// \brief \a number tells the gateways of one soak apart.
+    SoakGateway(std::string folder, int number, Endpoint store);
+    ~SoakGateway();
+    SoakGateway(const SoakGateway &) = delete;
+    SoakGateway &operator=(const SoakGateway &) = delete;
+
+    const std::string &name() const { return m_name; }
+    Endpoint callers() const { return m_callers; }
+    Endpoint peer() const { return m_peer; }
+    /// \brief Writes the settings, with \a seeds, and starts the process.
+    void start(const std::vector<Endpoint> &seeds);
+    void signal(int number) const;
+    bool isRunning() const { return m_pid > 0; }
+    /// \brief Number of starts so far; tells incarnations apart.
+    int starts() const { return m_starts; }
+    /// \brief The exit status if the process has ended since the last call: -N for signal N.
+    std::optional<int> reap();
+
+private:
+    const std::string m_folder;
+    const std::string m_name;
+    const Endpoint m_store;
+    const Endpoint m_callers;
+    const Endpoint m_readiness;
+    const Endpoint m_peer;
+    pid_t m_pid = 0;
+    int m_starts = 0;
+};
+
+} // namespace gwt::test
--- /dev/null
+++ b/test/soak/gwt-soak.cpp
@@ -0,0 +1,50 @@
+#include "Soak.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+namespace po = boost::program_options;
+
+int main(int argc, char **argv)
+{
+    gwt::test::SoakOptions options;
+    std::uint64_t first = 1;
+    int runs = 1;
+    int seconds = 8;
+    po::options_description description("Disturbs real gateways and checks their promises");
+    description.add_options()("help", "this text")("seed", po::value(&first)->default_value(1),
+                                                   "first seed")(
+        "runs", po::value(&runs)->default_value(1), "runs, each with the next seed")(
+        "seconds", po::value(&seconds)->default_value(8), "length of the faults of a run")(
+        "gateways", po::value(&options.gateways)->default_value(3), "processes of a run");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error &fault) {
+        std::cerr << fault.what() << "\n" << description;
+        return 2;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    options.length = std::chrono::seconds(seconds);
+    int failed = 0;
+    for (int run = 0; run < runs; ++run) {
+        options.seed = first + static_cast<std::uint64_t>(run);
+        gwt::test::Soak soak(options);
+        const std::vector<std::string> broken = soak.run();
+        const gwt::test::SoakFindings &findings = soak.findings();
+        std::cout << "seed " << options.seed << ": served " << findings.served << ", refused "
+                  << findings.refusals << ", failed " << findings.failures << ", broken "
+                  << broken.size() << std::endl;
+        for (const std::string &what : broken)
+            std::cout << "  " << what << "\n";
+        if (!broken.empty())
+            std::cout << "  logs: " << soak.folder() << "\n";
+        failed += broken.empty() ? 0 : 1;
+    }
+    return failed == 0 ? 0 : 1;
+}
