Say 502 when an earlier send of a request may have run

Cause: found by reading. After a reset of a new connection the send is taken as not counted against the route's attempts, and a later "not run" of another send then made the answer 503, which promises that nothing has run.

Ruled out: unsafe requests were never concerned; they are not sent again after such a reset.

Shown by GatewayTest.aRefusalIsNotClaimedAfterASendThatMayHaveRun: 503 before, 502 after.

--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -99,9 +99,10 @@
         m_asked.push_back(reply.backendId);
     if (!m_handler)
         return;
-    const bool mayHaveRun = reply.result == LegResult::Answered
-        || (reply.result == LegResult::Unknown && !reply.isOverLimit);
-    if (mayHaveRun)
+    const bool mayHaveRun
+        = reply.result == LegResult::Answered || reply.result == LegResult::Unknown;
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
+    if (mayHaveRun && !reply.isOverLimit)
         ++m_runs;
     if (reply.result == LegResult::Answered && isSuccess(*reply.response)) {
         m_context.hedges.note(m_plan.route->name, reply.elapsed);
@@ -125,7 +126,7 @@
         return;
     ServiceReply failure;
     failure.response = std::move(m_failure);
-    failure.mayHaveRun = m_runs > 0 || reply.result == LegResult::Unknown;
+    failure.mayHaveRun = m_mayHaveRun;
     failure.reason = m_reason;
     finish(std::move(failure));
 }
@@ -194,7 +195,7 @@
         }
         ServiceReply failure;
         failure.response = std::move(self->m_failure);
-        failure.mayHaveRun = self->m_runs > 0;
+        failure.mayHaveRun = self->m_mayHaveRun;
         failure.reason = self->m_reason;
         self->finish(std::move(failure));
     });
--- a/src/gateway/forwarding/ServiceCall.h
+++ b/src/gateway/forwarding/ServiceCall.h
@@ -68,7 +68,8 @@
     std::optional<WireResponse> m_failure; ///< the last error response of a server
     std::string m_reason = "no_server";
     TimerQueue::Id m_retryTimer;
-    int m_runs = 0; ///< sends that have ended and may have run
+    int m_runs = 0; ///< sends that count as attempts of the route
+    bool m_mayHaveRun = false; ///< some send is not proven not to have run
     int m_sends = 0;
 };
 
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -3,6 +3,8 @@
 namespace gwt::test {
 namespace {
 
+const std::string notRunField = "X-Not-Executed: 1\r\n";
+
 TEST_F(GatewayTest, withoutAConfigurationItRefusesAndNeverSaysNotFound)
 {
     const WireResponse response = ask("/one/1");
@@ -119,7 +121,6 @@
     EXPECT_EQ(fieldOf(response, "Retry-After").empty(), response.result_int() != 503);
 }
 
-const std::string notRunField = "X-Not-Executed: 1\r\n";
 const std::string stampedFailure = httpResponse(500, stamp, "failed");
 
 INSTANTIATE_TEST_SUITE_P(
@@ -193,6 +194,21 @@
     EXPECT_LT(server.accepted(), 8) << "connections must not be tried without a pause";
 }
 
+TEST_F(GatewayTest, aRefusalIsNotClaimedAfterASendThatMayHaveRun)
+{
+    // The first connection is cut without a word, as by a server at its limit or one that ran the
+    // request; all later sends are refused.
+    int requests = 0;
+    addServer("s", [&](const ServerRequest &) {
+        return ++requests == 1 ? ScriptedReply{"", 0ms, true}
+                               : ScriptedReply{httpResponse(503, notRunField, "")};
+    });
+    addSingleRoute(true);
+    start();
+    EXPECT_EQ(ask("/one/1", "X-Deadline-Ms: 600\r\n").result_int(), 502U);
+    EXPECT_GT(requests, 1);
+}
+
 TEST_F(GatewayTest, aConfigurationNeverGoesBack)
 {
     addServer("s", {okBody("new")});
