--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -28,6 +28,8 @@
     /// \brief True once requests can be served.
     bool isReady() const { return m_routes && m_hasBackends; }
     const RequestLimits &limits() const { return m_limits; }
+    /// \brief Legs that have not ended.
+    std::size_t openLegs() const { return m_backends.openLegs(); }
 
 private:
     void applyBackends(const std::vector<BackendChange> &changes);
--- a/src/gateway/backends/BackendFleet.cpp
+++ b/src/gateway/backends/BackendFleet.cpp
@@ -59,4 +59,12 @@
     return usable;
 }
 
+std::size_t BackendFleet::openLegs() const
+{
+    std::size_t open = 0;
+    for (const auto &[service, pool] : m_pools)
+        open += pool->openLegs();
+    return open;
+}
+
 } // namespace gwt
--- a/src/gateway/backends/BackendFleet.h
+++ b/src/gateway/backends/BackendFleet.h
@@ -22,6 +22,8 @@
     void setLimits(const RouteTable &routes, int fleetSize);
     /// \brief Backend servers that can take work, over all services.
     std::size_t usableServers() const;
+    /// \brief Legs that have not ended, over all services.
+    std::size_t openLegs() const;
 
 private:
     PoolContext m_context;
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -87,6 +87,7 @@
 void ServicePool::submit(const std::shared_ptr<Leg> &leg)
 {
     leg->number = ++m_lastNumber;
+    ++m_openLegs;
     leg->expiry = m_context.timers.at(leg->deadline + replyGrace, [this, leg] { expire(leg); });
     enqueue(leg);
     dispatch();
@@ -286,6 +287,7 @@
 {
     m_context.timers.cancel(leg->expiry);
     leg->isEnded = true;
+    --m_openLegs;
     if (!leg->server) {
         m_queue.remove(leg);
         return;
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -44,6 +44,8 @@
     bool hasServer(TimePoint now, const std::vector<std::string> &avoid = {}) const;
     RepeatBudget &budget() { return m_budget; }
     std::size_t waiting() const { return m_queue.size(); }
+    /// \brief Legs that have not ended, those that nobody waits for included.
+    std::size_t openLegs() const { return m_openLegs; }
     bool isEmpty() const { return m_servers.empty(); }
     const std::map<std::string, std::shared_ptr<BackendServer>> &servers() const
     {
@@ -83,6 +85,7 @@
     std::list<std::shared_ptr<Leg>> m_queue; ///< most urgent first, then oldest
     int m_connectionShare = 1;
     std::uint64_t m_lastNumber = 0;
+    std::size_t m_openLegs = 0;
     bool m_isDispatching = false;
 };
 
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -213,6 +213,7 @@
     m_lastUsed = Clock::now();
     m_hasServed = true;
     const ResponseHandler handler = std::exchange(m_handler, nullptr);
+    m_accepts = nullptr;
     notePersistence(response);
     // Bytes beyond the reply, or a request that is not sent whole, leave the stream out of step.
     const bool isInStep = m_buffer.size() == 0 && !m_isWriting;
@@ -237,6 +238,7 @@
 {
     const auto self = shared_from_this();
     const ResponseHandler handler = std::exchange(m_handler, nullptr);
+    m_accepts = nullptr;
     const bool wasOpen = m_isOpen;
     shut();
     if (handler)
@@ -248,6 +250,7 @@
 void ClientConnection::close()
 {
     m_handler = nullptr;
+    m_accepts = nullptr;
     shut();
 }
 
--- a/test/GatewayFixture.h
+++ b/test/GatewayFixture.h
@@ -37,6 +37,13 @@
         m_config.version = 1;
     }
 
+    ~GatewayTest() override
+    {
+        // Requests in progress keep each other alive until their last leg has ended.
+        runUntil(m_context, [&] { return m_core.openLegs() == 0; });
+        run(5ms);
+    }
+
     ScriptedServer &addServer(const std::string &service, ScriptedServer::Script script)
     {
         m_servers.push_back(
