--- a/test/ScriptedServer.cpp
+++ b/test/ScriptedServer.cpp
@@ -18,8 +18,7 @@
 };
 
 ScriptedServer::ScriptedServer(asio::io_context &context, TimerQueue &timers, Script script)
-    : m_context(context)
-    , m_timers(timers)
+    : m_timers(timers)
     , m_script(std::move(script))
     , m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
 {
--- a/test/ScriptedServer.h
+++ b/test/ScriptedServer.h
@@ -53,7 +53,6 @@
     void answer(const std::shared_ptr<Session> &session, const ServerRequest &request);
     static void write(const std::shared_ptr<Session> &session, const ScriptedReply &reply);
 
-    boost::asio::io_context &m_context;
     TimerQueue &m_timers;
     Script m_script;
     boost::asio::ip::tcp::acceptor m_acceptor;
