--- a/apps/gwt-booking.cpp
+++ b/apps/gwt-booking.cpp
@@ -1,5 +1,6 @@
 #include "booking/Booking.h"
 #include "daemon/DaemonModule.h"
+#include "platform/StoreAccess.h"
 
 int main(int argc, char **argv)
 {
@@ -11,6 +12,7 @@
                        gwt::DaemonServices &services) -> std::unique_ptr<gwt::DaemonRole> {
                 return std::make_unique<gwt::BookingRole>(services, options);
             };
-        }};
+        },
+        gwt::platform::StoreAccess::connect};
     return gwt::runDaemon(program, argc, argv);
 }
--- a/apps/gwt-entry.cpp
+++ b/apps/gwt-entry.cpp
@@ -1,5 +1,6 @@
 #include "daemon/DaemonModule.h"
 #include "entry/Entry.h"
+#include "platform/StoreAccess.h"
 
 int main(int argc, char **argv)
 {
@@ -10,6 +11,7 @@
                        gwt::DaemonServices &services) -> std::unique_ptr<gwt::DaemonRole> {
                 return std::make_unique<gwt::EntryRole>(services, options);
             };
-        }};
+        },
+        gwt::platform::StoreAccess::connect};
     return gwt::runDaemon(program, argc, argv);
 }
--- a/apps/gwt-relay.cpp
+++ b/apps/gwt-relay.cpp
@@ -1,4 +1,5 @@
 #include "daemon/DaemonModule.h"
+#include "platform/StoreAccess.h"
 #include "relay/Relay.h"
 
 int main(int argc, char **argv)
@@ -11,6 +12,7 @@
                        gwt::DaemonServices &services) -> std::unique_ptr<gwt::DaemonRole> {
                 return std::make_unique<gwt::RelayRole>(services, options);
             };
-        }};
+        },
+        gwt::platform::StoreAccess::connect};
     return gwt::runDaemon(program, argc, argv);
 }
--- a/bench/BookingJournalBench.cpp
+++ b/bench/BookingJournalBench.cpp
@@ -1,5 +1,6 @@
 #include "booking/Booking.h"
 #include "platform/Platform.h"
+#include "platform/StoreAccess.h"
 #include "standins/platform/FakePlatform.h"
 
 #include <benchmark/benchmark.h>
@@ -39,9 +40,10 @@
 void benchJournal(benchmark::State &state)
 {
     WorkerPool pool(2);
-    FakePlatform platform(pool.executor());
+    FakePlatform fake(pool.executor());
     HttpClient client(pool.executor());
-    HttpObjectStore store(client, valueOf(platform.listen({"127.0.0.1", 0})));
+    platform::StoreAccess access(pool.executor(), client, valueOf(fake.listen({"127.0.0.1", 0})));
+    ObjectStore &store = access.store();
     Metrics metrics;
     BookingOptions options;
     options.retention = 0ms; // so that the journal's size stays the same
@@ -51,8 +53,8 @@
     asio::co_spawn(range->strand(), range->acquire(Clock::now() + 5s), asio::use_future).get();
     PlatformFaults faults;
     faults.delay = storeDelay;
-    platform.setFaults(faults);
-    const std::uint64_t before = platform.counts().writes;
+    fake.setFaults(faults);
+    const std::uint64_t before = fake.counts().writes;
     const auto atATime = static_cast<int>(state.range(0));
     for (auto iteration : state) {
         std::vector<std::future<void>> bookings;
@@ -66,7 +68,7 @@
     }
     const auto count = static_cast<double>(state.iterations() * state.range(0));
     state.counters["writes_per_booking"]
-        = static_cast<double>(platform.counts().writes - before) / count;
+        = static_cast<double>(fake.counts().writes - before) / count;
     state.counters["bookings_per_s"] = benchmark::Counter(count, benchmark::Counter::kIsRate);
     pool.stop();
 }
--- a/bench/capacity/ConfigScaleBench.cpp
+++ b/bench/capacity/ConfigScaleBench.cpp
@@ -6,6 +6,7 @@
 #include "control/Control.h"
 #include "distribution/Distribution.h"
 #include "platform/Platform.h"
+#include "platform/StoreAccess.h"
 #include "standins/platform/FakePlatform.h"
 
 #include <boost/asio/use_future.hpp>
@@ -111,9 +112,10 @@
 void measureScale(int servers)
 {
     WorkerPool pool(2);
-    FakePlatform platform(pool.executor());
+    FakePlatform fake(pool.executor());
     HttpClient client(pool.executor());
-    HttpObjectStore store(client, valueOf(platform.listen({"127.0.0.1", 0})));
+    platform::StoreAccess access(pool.executor(), client, valueOf(fake.listen({"127.0.0.1", 0})));
+    ObjectStore &store = access.store();
     Publisher publisher(store);
     StoreSource source(store);
     ConfigSet set = makeSet(servers);
@@ -131,7 +133,7 @@
     const double heldMb = heapMb() - before;
     std::printf("%7d  %6zu  %8.1f  %9.1f  %8.1f  %8.1f", servers, faults, checkMs, firstMs, loadMs,
                 heldMb);
-    measureChanges(pool, platform, store, std::move(set), valueOf(held));
+    measureChanges(pool, fake, store, std::move(set), valueOf(held));
     pool.stop();
 }
 
@@ -166,9 +168,10 @@
     constexpr int zones = 3;
     constexpr int changes = 10;
     WorkerPool pool(4);
-    FakePlatform platform(pool.executor());
+    FakePlatform fake(pool.executor());
     HttpClient client(pool.executor());
-    HttpObjectStore store(client, valueOf(platform.listen({"127.0.0.1", 0})));
+    platform::StoreAccess access(pool.executor(), client, valueOf(fake.listen({"127.0.0.1", 0})));
+    ObjectStore &store = access.store();
     Publisher publisher(store);
     FixedMembership membership;
     std::vector<std::unique_ptr<Node>> nodes;
@@ -199,9 +202,9 @@
         }
     };
     publishAndWait(connections);
-    const std::uint64_t reads = platform.counts().reads;
-    const std::uint64_t writes = platform.counts().writes;
-    const std::uint64_t watches = platform.counts().watches;
+    const std::uint64_t reads = fake.counts().reads;
+    const std::uint64_t writes = fake.counts().writes;
+    const std::uint64_t watches = fake.counts().watches;
     double worstMs = 0;
     for (int i = 1; i <= changes; ++i) {
         const TimePoint start = Clock::now();
@@ -209,9 +212,9 @@
         worstMs = std::max(worstMs, msSince(start));
     }
     std::printf("%-22s reads %.1f  writes %.1f  watches %.1f  worst time to all %.0f ms\n", name,
-                static_cast<double>(platform.counts().reads - reads) / changes,
-                static_cast<double>(platform.counts().writes - writes) / changes,
-                static_cast<double>(platform.counts().watches - watches) / changes, worstMs);
+                static_cast<double>(fake.counts().reads - reads) / changes,
+                static_cast<double>(fake.counts().writes - writes) / changes,
+                static_cast<double>(fake.counts().watches - watches) / changes, worstMs);
     pool.stop();
 }
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -201,7 +201,7 @@
     if (isCheckOnly)
         return exitOk;
     initializeLog(program.name, options.logLevel);
-    DaemonServices services(std::move(options));
+    DaemonServices services(std::move(options), program.connectPlatform);
     const std::unique_ptr<DaemonRole> role = createRole(services);
     const int status = run(services, *role);
     services.pool.stop();
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -19,6 +19,7 @@
     Role role = Role::Entry;
     std::string summary; ///< one line for --help
     RoleFactory (*readSettings)(Settings &settings);
+    PlatformFactory connectPlatform;
 };
 
 /// \brief The main function of a daemon: command line, settings, run, graceful shutdown.
--- a/src/daemon/DaemonServices.cpp
+++ b/src/daemon/DaemonServices.cpp
@@ -36,12 +36,13 @@
 
 } // namespace
 
-DaemonServices::DaemonServices(DaemonOptions daemonOptions)
+DaemonServices::DaemonServices(DaemonOptions daemonOptions, const PlatformFactory &connectPlatform)
     : options(std::move(daemonOptions))
     , pool(options.workers)
     , httpClient(pool.executor())
-    , store(httpClient, options.platform)
-    , hostList(httpClient, options.platform)
+    , platform(connectPlatform(pool.executor(), httpClient, options.platform))
+    , store(platform->store())
+    , hostList(platform->hostList())
     , membership(pool.executor(), hostList, metrics, selfOf(options), seedsOf(options), {})
     , peerClient(pool.executor(), peerConnectTimeout, metrics)
     , peerServer(pool.executor())
--- a/src/daemon/DaemonServices.h
+++ b/src/daemon/DaemonServices.h
@@ -10,23 +10,23 @@
 #include "membership/GossipMembership.h"
 #include "peer/PeerClient.h"
 #include "peer/PeerServer.h"
-#include "platform/HttpHostList.h"
-#include "platform/HttpObjectStore.h"
+#include "platform/PlatformAccess.h"
 
 namespace gwt {
 
 /// \brief What every role is built from; members in order of construction.
 struct DaemonServices
 {
-    explicit DaemonServices(DaemonOptions daemonOptions);
+    DaemonServices(DaemonOptions daemonOptions, const PlatformFactory &connectPlatform);
 
     DaemonOptions options;
     WorkerPool pool;
     Metrics metrics;
     Readiness readiness;
     HttpClient httpClient;
-    HttpObjectStore store;
-    HttpHostList hostList;
+    std::unique_ptr<PlatformAccess> platform; ///< never null
+    ObjectStore &store;
+    HostList &hostList;
     ConfigHolder config;
     GossipMembership membership;
     PeerClient peerClient;
--- a/src/http/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -6,7 +6,15 @@
 
 namespace {
 
-std::string decoded(std::string_view text)
+std::string find(const HttpHeaders &headers, const std::string &name)
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+} // namespace
+
+std::string percentDecode(std::string_view text)
 {
     std::string result;
     for (std::size_t i = 0; i < text.size(); ++i) {
@@ -21,17 +29,9 @@
     return result;
 }
 
-std::string find(const HttpHeaders &headers, const std::string &name)
-{
-    const auto found = headers.find(name);
-    return found == headers.end() ? std::string() : found->second;
-}
-
-} // namespace
-
 std::string HttpRequest::path() const
 {
-    return decoded(std::string_view(target).substr(0, target.find('?')));
+    return percentDecode(std::string_view(target).substr(0, target.find('?')));
 }
 
 std::string HttpRequest::queryValue(const std::string &name) const
@@ -44,7 +44,7 @@
         const std::string_view pair = rest.substr(0, rest.find('&'));
         const auto equals = pair.find('=');
         if (equals != std::string_view::npos && pair.substr(0, equals) == name)
-            return decoded(pair.substr(equals + 1));
+            return percentDecode(pair.substr(equals + 1));
         rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     }
     return {};
--- a/src/http/HttpMessage.h
+++ b/src/http/HttpMessage.h
@@ -5,12 +5,16 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace gwt {
 
 /// \brief Header fields by lower-case name.
 using HttpHeaders = std::map<std::string, std::string>;
 
+/// \brief \a text of a path or query with its percent-encoded bytes and plus signs decoded.
+std::string percentDecode(std::string_view text);
+
 /// \brief A whole HTTP/1.1 request.
 struct HttpRequest
 {
--- a/src/operator/OperatorContext.cpp
+++ b/src/operator/OperatorContext.cpp
@@ -8,12 +8,13 @@
 
 } // namespace
 
-OperatorContext::OperatorContext(const OperatorOptions &options)
+OperatorContext::OperatorContext(const OperatorOptions &options,
+                                 const PlatformFactory &connectPlatform)
     : m_pool(1)
     , m_client(m_pool.executor())
-    , m_store(m_client, options.platform.value_or(Endpoint()))
-    , m_hostList(m_client, options.platform.value_or(Endpoint()))
-    , m_reader(m_store)
+    , m_platform(
+          connectPlatform(m_pool.executor(), m_client, options.platform.value_or(Endpoint())))
+    , m_reader(m_platform->store())
 { }
 
 OperatorContext::~OperatorContext()
--- a/src/operator/OperatorContext.h
+++ b/src/operator/OperatorContext.h
@@ -3,8 +3,7 @@
 #include "common/WorkerPool.h"
 #include "control/queries/ConfigReader.h"
 #include "operator/OperatorOptions.h"
-#include "platform/HttpHostList.h"
-#include "platform/HttpObjectStore.h"
+#include "platform/PlatformAccess.h"
 
 #include <boost/asio/use_future.hpp>
 
@@ -18,12 +17,12 @@
 public:
     /// \brief A context whose platform is that of \a options; without one, calls of the platform
     /// fail as unreachable.
-    explicit OperatorContext(const OperatorOptions &options);
+    OperatorContext(const OperatorOptions &options, const PlatformFactory &connectPlatform);
     ~OperatorContext();
 
     HttpClient &client() { return m_client; }
-    ObjectStore &store() { return m_store; }
-    HostList &hostList() { return m_hostList; }
+    ObjectStore &store() { return m_platform->store(); }
+    HostList &hostList() { return m_platform->hostList(); }
     ConfigReader &reader() { return m_reader; }
 
     /// \brief Runs \a task and waits for its result.
@@ -39,8 +38,7 @@
 private:
     WorkerPool m_pool;
     HttpClient m_client;
-    HttpObjectStore m_store;
-    HttpHostList m_hostList;
+    std::unique_ptr<PlatformAccess> m_platform; ///< never null
     ConfigReader m_reader;
 };
 
--- a/src/operator/OperatorProgram.cpp
+++ b/src/operator/OperatorProgram.cpp
@@ -78,7 +78,7 @@
 
 } // namespace
 
-int runOperator(int argc, char **argv)
+int runOperator(int argc, char **argv, const PlatformFactory &connectPlatform)
 {
     const Outcome<OperatorOptions> read = OperatorOptions::read(argc, argv);
     if (!isOk(read))
@@ -103,7 +103,7 @@
     const bool hasNoPlatform = !options.platform && command->needsPlatform;
     if (hasNoPlatform)
         return failUsage(command->name + " needs --platform IP:PORT");
-    OperatorContext context(options);
+    OperatorContext context(options, connectPlatform);
     const OperatorReport report = command->run(context, options);
     const std::string output
         = options.isJson ? boost::json::serialize(report.json) + "\n" : report.text;
--- a/src/operator/OperatorProgram.h
+++ b/src/operator/OperatorProgram.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "platform/PlatformAccess.h"
+
 namespace gwt {
 
 /// \brief The main function of gwtctl.
 ///
 /// Exit status: 0 done; 1 refused, failed, or not in force everywhere; 2 bad usage.
-int runOperator(int argc, char **argv);
+int runOperator(int argc, char **argv, const PlatformFactory &connectPlatform);
 
 } // namespace gwt
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -1,10 +1,9 @@
 #pragma once
 
 /// \file
-/// \brief Module platform: the platform's object store and host list, as interfaces and over HTTP.
+/// \brief Module platform: what the project uses of the platform, as interfaces.
 
 #include "platform/HostList.h"
-#include "platform/HttpHostList.h"
-#include "platform/HttpObjectStore.h"
 #include "platform/ObjectStore.h"
+#include "platform/PlatformAccess.h"
 #include "platform/RetryingStore.h"
--- a/standins/platform/FakePlatform.cpp
+++ b/standins/platform/FakePlatform.cpp
@@ -3,10 +3,12 @@
 #include "common/Sleep.h"
 #include "control/ConfigCodec.h"
 #include "control/ConfigKeys.h"
+#include "platform/KeyMapping.h"
 
 #include <boost/json.hpp>
 
 #include <charconv>
+#include <sstream>
 
 namespace gwt {
 
@@ -18,7 +20,11 @@
 constexpr Milliseconds watchPollInterval{10};
 constexpr Milliseconds silencePollInterval{20};
 constexpr std::chrono::seconds rateWindow{1};
-const std::string objectsPath = "/v1/objects/";
+const std::string objectsPath = "/-/objects/";
+const std::string hostKind = "hosts";
+const std::string statusPart = "status";
+/// Marks a reply that never reaches its caller: the connection ends without a byte of it.
+constexpr int lostStatus = 599;
 
 template <typename Number>
 Number toNumber(const std::string &text, Number fallback)
@@ -33,32 +39,50 @@
     return HttpResponse::json(status, "{\"error\":\"" + code + "\"}");
 }
 
-HttpResponse tagged(int status, ObjectVersion version, std::string body)
+HttpResponse lostReply()
 {
-    HttpResponse response;
-    response.status = status;
-    response.headers["etag"] = "\"" + std::to_string(version) + "\"";
-    response.body = std::move(body);
-    return response;
+    HttpResponse lost = errorResponse(lostStatus, "reply_lost");
+    lost.mustClose = true;
+    return lost;
 }
 
-/// \brief The version that a write is conditional on; nullopt if it names none.
-std::optional<ObjectVersion> expectedVersion(const HttpRequest &request)
+HttpWireBytes dropLostReply(HttpWireBytes wire)
 {
-    if (request.header("if-none-match") == "*")
-        return 0;
-    std::string tag = request.header("if-match");
-    if (tag.size() < 3 || tag.front() != '"')
-        return std::nullopt;
-    return toNumber<ObjectVersion>(tag.substr(1, tag.size() - 2), 0);
+    static const std::string lostStart = "HTTP/1.1 " + std::to_string(lostStatus);
+    if (wire.bytes.starts_with(lostStart))
+        return {"", true};
+    return wire;
+}
+
+json::object toJson(const ObjectRecord &record)
+{
+    return {{"meta",
+             {{"name", record.name},
+              {"revision", record.revision},
+              {"createdRev", record.createdRevision},
+              {"finalizers", record.finalizers},
+              {"deleting", record.isDeleting}}},
+            {"spec", record.spec},
+            {"status", record.status}};
 }
 
-json::array toJson(const std::vector<ObjectInfo> &infos)
+HttpResponse jsonResponse(int status, const json::value &body)
 {
-    json::array list;
-    for (const ObjectInfo &info : infos)
-        list.push_back(json::object{{"key", info.key}, {"version", info.version}});
-    return list;
+    return HttpResponse::json(status, json::serialize(body));
+}
+
+/// \brief A call's answer that tells of the object.
+HttpResponse answerOf(const StoreWrite &write)
+{
+    switch (write.verdict) {
+    case StoreWrite::Verdict::Done:
+        return jsonResponse(200, toJson(write.object));
+    case StoreWrite::Verdict::Conflict:
+        return jsonResponse(409, toJson(write.object));
+    case StoreWrite::Verdict::Missing:
+        break;
+    }
+    return errorResponse(404, "no_such_object");
 }
 
 PlatformFaults parseFaults(const json::object &object, PlatformFaults faults)
@@ -73,6 +97,7 @@
     };
     faults.isDown = flag("down", faults.isDown);
     faults.isSilent = flag("silent", faults.isSilent);
+    faults.resets = flag("resets", faults.resets);
     faults.delay = Milliseconds(number("delay_ms", faults.delay.count()));
     faults.lateEffect = Milliseconds(number("late_effect_ms", faults.lateEffect.count()));
     faults.loseWriteReplies
@@ -105,8 +130,9 @@
 } // namespace
 
 FakePlatform::FakePlatform(Executor executor)
-    : m_server(executor, HttpServerLimits{4U << 20U},
-               [this](HttpRequest request) { return answer(std::move(request)); })
+    : m_server(
+        executor, HttpServerLimits{4U << 20U},
+        [this](HttpRequest request) { return answer(std::move(request)); }, dropLostReply)
     , m_admin(executor, HttpServerLimits{4U << 20U},
               [this](HttpRequest request) { return answerAdmin(std::move(request)); })
 { }
@@ -146,50 +172,78 @@
 bool FakePlatform::losesReply(const std::string &key)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_faults.loseWriteReplies <= 0 || key.rfind(m_faults.loseReplyPrefix, 0) != 0)
+    if (m_faults.loseWriteReplies <= 0 || !key.starts_with(m_faults.loseReplyPrefix))
         return false;
     --m_faults.loseWriteReplies;
     return true;
 }
 
+std::string FakePlatform::writtenKey(const Target &target, const HttpResponse &response)
+{
+    // A creation names its object in the body only.
+    const json::value object = json::parse(response.body);
+    return platform::keyOf({target.kind, std::string(object.at("meta").at("name").as_string())});
+}
+
+std::optional<FakePlatform::Target> FakePlatform::targetOf(const HttpRequest &request)
+{
+    // Not the decoded path: a name may hold a slash.
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    if (!path.starts_with(objectsPath))
+        return std::nullopt;
+    std::vector<std::string> parts;
+    std::stringstream stream(path.substr(objectsPath.size()));
+    for (std::string part; std::getline(stream, part, '/');)
+        parts.push_back(percentDecode(part));
+    constexpr std::size_t maxParts = 3;
+    if (parts.empty() || parts.size() > maxParts)
+        return std::nullopt;
+    const bool isStatus = parts.size() == maxParts;
+    if (isStatus && parts.back() != statusPart)
+        return std::nullopt;
+    return Target{parts[0], parts.size() > 1 ? parts[1] : "", isStatus};
+}
+
 Task<HttpResponse> FakePlatform::answer(HttpRequest request)
 {
     if (faults().delay.count() > 0)
         co_await sleepFor(faults().delay);
     while (faults().isSilent && !request.cancel.isCancelled())
         co_await sleepFor(silencePollInterval);
+    if (faults().resets)
+        co_return lostReply();
     if (faults().isDown || request.cancel.isCancelled()) {
         ++m_counts.refused;
         co_return errorResponse(503, "store_unavailable");
     }
-    const std::string path = request.path();
-    if (path == "/v1/hosts")
-        co_return answerHosts();
-    if (path == "/v1/watch")
-        co_return co_await answerWatch(std::move(request));
-    if (path == "/v1/objects" && request.method == "GET")
-        co_return answerList(request);
-    if (path.rfind(objectsPath, 0) == 0)
-        co_return co_await answerObject(std::move(request), path.substr(objectsPath.size()));
-    co_return errorResponse(404, "no_such_path");
+    const std::optional<Target> target = targetOf(request);
+    if (!target)
+        co_return errorResponse(404, "no_such_path");
+    if (request.method == "GET")
+        co_return co_await answerRead(std::move(request), *target);
+    co_return co_await answerWrite(std::move(request), *target);
 }
 
-Task<HttpResponse> FakePlatform::answerObject(HttpRequest request, std::string key)
+Task<HttpResponse> FakePlatform::answerRead(HttpRequest request, Target target)
 {
-    if (request.method != "GET")
-        co_return co_await answerWrite(std::move(request), std::move(key));
+    if (!request.queryValue("watch").empty())
+        co_return co_await answerWatch(std::move(request), std::move(target));
     if (!takeToken(m_readWindow, faults().readsPerSecond)) {
         ++m_counts.refused;
         co_return errorResponse(429, "read_rate");
     }
     ++m_counts.reads;
-    const std::optional<StoredObject> object = m_store.get(key);
+    if (target.kind == hostKind)
+        co_return answerHosts();
+    if (target.name.empty())
+        co_return answerList(request, target);
+    const std::optional<ObjectRecord> object = m_data.get(target.kind, target.name);
     if (!object)
         co_return errorResponse(404, "no_such_object");
-    co_return tagged(200, object->version, object->value);
+    co_return jsonResponse(200, toJson(*object));
 }
 
-Task<HttpResponse> FakePlatform::answerWrite(HttpRequest request, std::string key)
+Task<HttpResponse> FakePlatform::answerWrite(HttpRequest request, Target target)
 {
     if (!takeToken(m_writeWindow, faults().writesPerSecond)) {
         ++m_counts.refused;
@@ -199,62 +253,94 @@
     const Milliseconds lateEffect = faults().lateEffect;
     if (lateEffect.count() > 0) {
         co_await sleepFor(lateEffect);
-        applyWrite(request, key);
+        applyWrite(request, target);
         ++m_counts.lostReplies;
-        HttpResponse lost = errorResponse(500, "reply_lost");
-        lost.mustClose = true;
-        co_return lost;
+        co_return lostReply();
     }
-    HttpResponse response = applyWrite(request, key);
-    if (response.status < 300 && losesReply(key)) {
+    HttpResponse response = applyWrite(request, target);
+    if (response.status < 300 && losesReply(writtenKey(target, response))) {
         ++m_counts.lostReplies;
-        response = errorResponse(500, "reply_lost");
-        response.mustClose = true;
+        co_return lostReply();
     }
     co_return response;
 }
 
-HttpResponse FakePlatform::applyWrite(const HttpRequest &request, const std::string &key)
+HttpResponse FakePlatform::applyWrite(const HttpRequest &request, const Target &target)
 {
-    const std::optional<ObjectVersion> expected = expectedVersion(request);
-    if (!expected)
-        return errorResponse(428, "condition_required");
-    if (request.method == "DELETE")
-        return m_store.remove(key, *expected) ? HttpResponse{204, {}, ""}
-                                              : errorResponse(412, "version_conflict");
-    if (request.method != "PUT")
-        return errorResponse(405, "wrong_method");
     if (request.body.size() > maxValueBytes)
         return errorResponse(413, "value_too_large");
-    const std::optional<ObjectVersion> version = m_store.put(key, request.body, *expected);
-    if (!version)
-        return errorResponse(412, "version_conflict");
-    return tagged(200, *version, "");
+    if (request.method == "DELETE") {
+        const std::string revision = request.queryValue("revision");
+        const auto expected
+            = revision.empty() ? std::nullopt : std::optional(toNumber<std::uint64_t>(revision, 0));
+        return answerOf(m_data.remove(target.kind, target.name, expected));
+    }
+    boost::system::error_code failure;
+    const json::value parsed = json::parse(request.body, failure);
+    const json::object *body = failure ? nullptr : parsed.if_object();
+    const json::value *meta = body ? body->if_contains("meta") : nullptr;
+    if (!meta || !meta->is_object() || !meta->get_object().if_contains("name"))
+        return errorResponse(400, "bad_object");
+    const json::object &fields = meta->get_object();
+    const std::string name(fields.at("name").as_string());
+    const json::value *revision = fields.if_contains("revision");
+    const StoreData::Expected expected
+        = revision ? std::optional(revision->to_number<std::uint64_t>()) : std::nullopt;
+    const json::value *finalizers = fields.if_contains("finalizers");
+    const auto part = [&](const char *field) {
+        const json::value *value = body->if_contains(field);
+        return value ? *value : json::value();
+    };
+    if (request.method == "POST")
+        return answerOf(m_data.create(target.kind, name, part("spec")));
+    if (request.method != "PUT")
+        return errorResponse(405, "wrong_method");
+    if (target.isStatus) {
+        return answerOf(m_data.replaceStatus(target.kind, target.name, expected, part("status")));
+    }
+    return answerOf(m_data.replace(target.kind, target.name, expected, part("spec"),
+                                   finalizers ? finalizers->as_array() : json::array()));
 }
 
-Task<HttpResponse> FakePlatform::answerWatch(HttpRequest request)
+Task<HttpResponse> FakePlatform::answerWatch(HttpRequest request, Target target)
 {
     ++m_counts.watches;
-    const std::string prefix = request.queryValue("prefix");
-    const auto after = toNumber<std::uint64_t>(request.queryValue("after"), 0);
-    const Milliseconds timeout(toNumber<std::int64_t>(request.queryValue("timeout_ms"), 0));
-    const TimePoint deadline = Clock::now() + timeout;
-    WatchResult seen = m_store.changesAfter(prefix, after);
-    while (seen.changes.empty() && Clock::now() < deadline && !request.cancel.isCancelled()) {
+    const auto after = toNumber<std::uint64_t>(request.queryValue("watch"), 0);
+    const Milliseconds wait(toNumber<std::int64_t>(request.queryValue("waitMs"), 0));
+    const TimePoint deadline = Clock::now() + wait;
+    for (;;) {
+        const std::uint64_t asOf = m_data.revision();
+        const auto changes = m_data.changesAfter(target.kind, after);
+        if (!changes)
+            co_return errorResponse(410, "history_gone");
+        const bool isDone
+            = !changes->empty() || Clock::now() >= deadline || request.cancel.isCancelled();
+        if (isDone) {
+            json::array events;
+            std::uint64_t last = asOf;
+            for (const RecordChange &change : *changes) {
+                events.push_back(
+                    json::object{{"removed", change.isRemoved}, {"object", toJson(change.object)}});
+                last = std::max(last, change.revision);
+            }
+            co_return jsonResponse(200, json::object{{"events", events}, {"asOf", last}});
+        }
         co_await sleepFor(watchPollInterval);
         if (faults().isDown)
             co_return errorResponse(503, "store_unavailable");
-        seen = m_store.changesAfter(prefix, after);
+        if (faults().resets)
+            co_return lostReply();
     }
-    const json::object body{{"revision", seen.revision}, {"changes", toJson(seen.changes)}};
-    co_return HttpResponse::json(200, json::serialize(body));
 }
 
-HttpResponse FakePlatform::answerList(const HttpRequest &request)
+HttpResponse FakePlatform::answerList(const HttpRequest &request, const Target &target) const
 {
-    ++m_counts.reads;
-    return HttpResponse::json(200,
-                              json::serialize(toJson(m_store.list(request.queryValue("prefix")))));
+    const RecordPage page = m_data.list(target.kind, request.queryValue("after"));
+    json::array items;
+    for (const ObjectRecord &record : page.records)
+        items.push_back(toJson(record));
+    return jsonResponse(
+        200, json::object{{"items", items}, {"more", page.hasMore}, {"asOf", page.revision}});
 }
 
 std::vector<Host> FakePlatform::laggedHosts() const
@@ -269,18 +355,20 @@
     return hosts;
 }
 
-HttpResponse FakePlatform::answerHosts()
+HttpResponse FakePlatform::answerHosts() const
 {
-    ++m_counts.reads;
-    json::array list;
+    json::array items;
     for (const Host &host : laggedHosts()) {
-        list.push_back(
-            json::object{{"name", host.name},
-                         {"address", host.address},
-                         {"availability_zone", host.availabilityZone},
-                         {"state", host.state == HostState::Leaving ? "leaving" : "live"}});
+        ObjectRecord record;
+        record.name = host.name;
+        record.spec
+            = json::object{{"address", host.address},
+                           {"zone", host.availabilityZone},
+                           {"state", host.state == HostState::Leaving ? "leaving" : "live"}};
+        items.push_back(toJson(record));
     }
-    return HttpResponse::json(200, json::serialize(list));
+    return jsonResponse(
+        200, json::object{{"items", items}, {"more", false}, {"asOf", m_data.revision()}});
 }
 
 Task<HttpResponse> FakePlatform::answerAdmin(HttpRequest request)
@@ -314,8 +402,8 @@
         version.version = static_cast<std::uint64_t>(body.at("version").as_int64());
         for (const json::value &service : body.at("services").as_array())
             version.services.emplace_back(service.as_string());
-        m_store.overwrite(indexVersionKey(version.index, version.version),
-                          encodeIndexVersion(version));
+        m_objects.overwrite(indexVersionKey(version.index, version.version),
+                            encodeIndexVersion(version));
         co_return HttpResponse::json(200, "{}");
     }
     co_return errorResponse(404, "no_such_path");
--- a/standins/platform/FakePlatform.h
+++ b/standins/platform/FakePlatform.h
@@ -3,7 +3,7 @@
 #include "common/Task.h"
 #include "http/HttpServer.h"
 #include "platform/HostList.h"
-#include "standins/platform/StoreData.h"
+#include "standins/platform/KeyedObjects.h"
 
 #include <atomic>
 #include <mutex>
@@ -16,6 +16,7 @@
 {
     bool isDown = false; ///< calls are refused with 503, without effect
     bool isSilent = false; ///< calls get no answer until the fault is released, and no effect
+    bool resets = false; ///< connections end at each call, without effect
     Milliseconds delay{0}; ///< before each answer
     Milliseconds lateEffect{0}; ///< writes answer nothing and take effect only after this time
     int loseWriteReplies = 0; ///< this many writes take effect and then lose their reply
@@ -35,7 +36,9 @@
     std::atomic<std::uint64_t> lostReplies = 0;
 };
 
-/// \brief Stand-in for the platform: object store and host list over HTTP.
+/// \brief Stand-in for the platform's metadata store, as its published protocol describes it.
+///
+/// It lists the hosts as objects of a kind of their own.
 class FakePlatform
 {
 public:
@@ -47,7 +50,9 @@
     void setFaults(const PlatformFaults &faults);
     PlatformFaults faults() const;
     const PlatformCounts &counts() const { return m_counts; }
-    StoreData &store() { return m_store; }
+    StoreData &data() { return m_data; }
+    /// \brief The project's objects, by key.
+    KeyedObjects &store() { return m_objects; }
     void setHosts(std::vector<Host> hosts);
 
 private:
@@ -57,16 +62,27 @@
         int used = 0;
     };
 
+    /// What a call is about, from its path.
+    struct Target
+    {
+        std::string kind;
+        std::string name; ///< empty: all objects of the kind
+        bool isStatus = false;
+    };
+
+    static std::optional<Target> targetOf(const HttpRequest &request);
     Task<HttpResponse> answer(HttpRequest request);
-    Task<HttpResponse> answerObject(HttpRequest request, std::string key);
-    Task<HttpResponse> answerWrite(HttpRequest request, std::string key);
-    Task<HttpResponse> answerWatch(HttpRequest request);
-    HttpResponse answerList(const HttpRequest &request);
-    HttpResponse answerHosts();
+    Task<HttpResponse> answerRead(HttpRequest request, Target target);
+    Task<HttpResponse> answerWrite(HttpRequest request, Target target);
+    Task<HttpResponse> answerWatch(HttpRequest request, Target target);
+    HttpResponse answerList(const HttpRequest &request, const Target &target) const;
+    HttpResponse answerHosts() const;
     Task<HttpResponse> answerAdmin(HttpRequest request);
-    HttpResponse applyWrite(const HttpRequest &request, const std::string &key);
+    HttpResponse applyWrite(const HttpRequest &request, const Target &target);
     bool takeToken(TokenWindow &window, int limit);
     bool losesReply(const std::string &key);
+    /// \brief Key of the object that \a response to a write tells of.
+    static std::string writtenKey(const Target &target, const HttpResponse &response);
     std::vector<Host> laggedHosts() const;
 
     mutable std::mutex m_mutex; ///< guards faults, windows and hosts
@@ -75,7 +91,8 @@
     TokenWindow m_readWindow;
     std::vector<std::pair<TimePoint, std::vector<Host>>> m_hostHistory;
     PlatformCounts m_counts;
-    StoreData m_store;
+    StoreData m_data;
+    KeyedObjects m_objects{m_data};
     HttpServer m_server;
     HttpServer m_admin;
 };
--- a/standins/platform/StoreData.cpp
+++ b/standins/platform/StoreData.cpp
@@ -2,74 +2,167 @@
 
 namespace gwt {
 
-std::optional<StoredObject> StoreData::get(const std::string &key) const
+namespace {
+
+constexpr std::size_t pageObjects = 500; ///< as the platform's pages
+constexpr std::size_t maxHistory = 20000; ///< changes; longer than any test looks back
+
+} // namespace
+
+ObjectRecord *StoreData::find(const std::string &kind, const std::string &name)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_objects.find(key);
-    if (found == m_objects.end())
-        return std::nullopt;
-    return StoredObject{found->second.value, found->second.version};
+    const auto objects = m_objects.find(kind);
+    if (objects == m_objects.end())
+        return nullptr;
+    const auto object = objects->second.find(name);
+    return object == objects->second.end() ? nullptr : &object->second;
 }
 
-ObjectVersion StoreData::store(const std::string &key, std::string value)
+void StoreData::note(const std::string &kind, const ObjectRecord &object, bool isRemoved)
 {
-    const ObjectVersion version = ++m_revision;
-    m_objects[key] = {std::move(value), version};
-    m_lastChange[key] = version;
-    return version;
+    m_history.push_back({m_revision, kind, object, isRemoved});
+    if (m_history.size() <= maxHistory)
+        return;
+    m_historyFrom = m_history.front().revision;
+    m_history.pop_front();
 }
 
-std::optional<ObjectVersion> StoreData::put(const std::string &key, std::string value,
-                                            ObjectVersion expected)
+std::optional<ObjectRecord> StoreData::get(const std::string &kind, const std::string &name) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_objects.find(key);
-    const ObjectVersion current = found == m_objects.end() ? 0 : found->second.version;
-    if (current != expected)
-        return std::nullopt;
-    return store(key, std::move(value));
+    const ObjectRecord *object = const_cast<StoreData *>(this)->find(kind, name);
+    return object ? std::optional(*object) : std::nullopt;
 }
 
-ObjectVersion StoreData::overwrite(const std::string &key, std::string value)
+StoreWrite StoreData::create(const std::string &kind, const std::string &name,
+                             boost::json::value spec)
 {
     const std::lock_guard lock(m_mutex);
-    return store(key, std::move(value));
+    if (const ObjectRecord *known = find(kind, name))
+        return {StoreWrite::Verdict::Conflict, *known};
+    ObjectRecord &object = m_objects[kind][name];
+    object.name = name;
+    object.revision = ++m_revision;
+    object.createdRevision = m_revision;
+    object.spec = std::move(spec);
+    note(kind, object, false);
+    return {StoreWrite::Verdict::Done, object};
 }
 
-bool StoreData::remove(const std::string &key, ObjectVersion expected)
+StoreWrite StoreData::change(const std::string &kind, const std::string &name, Expected revision,
+                             const std::function<bool(ObjectRecord &)> &apply)
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_objects.find(key);
-    if (found == m_objects.end() || found->second.version != expected)
-        return false;
-    m_objects.erase(found);
-    m_lastChange[key] = ++m_revision;
-    return true;
+    ObjectRecord *object = find(kind, name);
+    if (!object)
+        return {StoreWrite::Verdict::Missing, {}};
+    if (revision && *revision != object->revision)
+        return {StoreWrite::Verdict::Conflict, *object};
+    if (!apply(*object))
+        return {StoreWrite::Verdict::Done, *object};
+    object->revision = ++m_revision;
+    StoreWrite write{StoreWrite::Verdict::Done, *object};
+    const bool isRemoved = object->isDeleting && object->finalizers.empty();
+    note(kind, *object, isRemoved);
+    if (isRemoved)
+        m_objects[kind].erase(name);
+    return write;
+}
+
+StoreWrite StoreData::replace(const std::string &kind, const std::string &name, Expected revision,
+                              boost::json::value spec, boost::json::array finalizers)
+{
+    return change(kind, name, revision, [&](ObjectRecord &object) {
+        if (object.spec == spec && object.finalizers == finalizers)
+            return false;
+        object.spec = std::move(spec);
+        object.finalizers = std::move(finalizers);
+        return true;
+    });
+}
+
+StoreWrite StoreData::replaceStatus(const std::string &kind, const std::string &name,
+                                    Expected revision, boost::json::value status)
+{
+    return change(kind, name, revision, [&](ObjectRecord &object) {
+        if (object.status == status)
+            return false;
+        object.status = std::move(status);
+        return true;
+    });
+}
+
+StoreWrite StoreData::remove(const std::string &kind, const std::string &name, Expected revision)
+{
+    return change(kind, name, revision, [](ObjectRecord &object) {
+        if (object.isDeleting)
+            return false;
+        object.isDeleting = true;
+        return true;
+    });
+}
+
+std::uint64_t StoreData::overwrite(const std::string &kind, const std::string &name,
+                                   boost::json::value spec)
+{
+    const StoreWrite replaced = replace(kind, name, std::nullopt, spec);
+    if (replaced.verdict != StoreWrite::Verdict::Missing)
+        return replaced.object.revision;
+    return create(kind, name, std::move(spec)).object.revision;
 }
 
-std::vector<ObjectInfo> StoreData::list(const std::string &prefix) const
+RecordPage StoreData::list(const std::string &kind, const std::string &after) const
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<ObjectInfo> result;
-    for (auto it = m_objects.lower_bound(prefix); it != m_objects.end(); ++it) {
-        if (it->first.compare(0, prefix.size(), prefix) != 0)
+    RecordPage page;
+    page.revision = m_revision;
+    const auto objects = m_objects.find(kind);
+    if (objects == m_objects.end())
+        return page;
+    for (auto it = objects->second.upper_bound(after); it != objects->second.end(); ++it) {
+        if (page.records.size() == pageObjects) {
+            page.hasMore = true;
             break;
-        result.push_back({it->first, it->second.version});
+        }
+        page.records.push_back(it->second);
     }
-    return result;
+    return page;
 }
 
-WatchResult StoreData::changesAfter(const std::string &prefix, std::uint64_t revision) const
+std::optional<std::vector<RecordChange>> StoreData::changesAfter(const std::string &kind,
+                                                                 std::uint64_t revision) const
 {
     const std::lock_guard lock(m_mutex);
-    WatchResult result{m_revision, {}};
-    for (auto it = m_lastChange.lower_bound(prefix); it != m_lastChange.end(); ++it) {
-        if (it->first.compare(0, prefix.size(), prefix) != 0)
-            break;
-        if (it->second > revision)
-            result.changes.push_back({it->first, m_objects.count(it->first) ? it->second : 0});
+    if (revision < m_historyFrom)
+        return std::nullopt;
+    std::vector<RecordChange> changes;
+    for (const RecordChange &change : m_history) {
+        if (change.revision > revision && change.kind == kind)
+            changes.push_back(change);
     }
-    return result;
+    return changes;
+}
+
+std::uint64_t StoreData::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_revision;
+}
+
+std::vector<std::string> StoreData::kinds() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> kinds;
+    for (const auto &[kind, objects] : m_objects)
+        kinds.push_back(kind);
+    return kinds;
+}
+
+void StoreData::forgetHistory()
+{
+    const std::lock_guard lock(m_mutex);
+    m_history.clear();
+    m_historyFrom = m_revision;
 }
 
 } // namespace gwt
--- a/standins/platform/StoreData.h
+++ b/standins/platform/StoreData.h
@@ -1,42 +1,99 @@
 #pragma once
 
-#include "platform/ObjectStore.h"
+#include <boost/json.hpp>
 
+#include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gwt {
 
-/// \brief The stand-in's objects: versions, conditional updates and a log of changes. Thread-safe.
+/// \brief An object of the stand-in's store.
+struct ObjectRecord
+{
+    std::string name;
+    std::uint64_t revision = 0; ///< of the last change
+    std::uint64_t createdRevision = 0;
+    boost::json::array finalizers; ///< while there are any, a removal only marks the object
+    bool isDeleting = false;
+    boost::json::value spec;
+    boost::json::value status;
+};
+
+/// \brief What a write did.
+struct StoreWrite
+{
+    enum class Verdict { Done, Conflict, Missing };
+
+    Verdict verdict = Verdict::Done;
+    ObjectRecord object; ///< as it is after the call; empty if it is missing
+};
+
+/// \brief One page of a listing.
+struct RecordPage
+{
+    std::vector<ObjectRecord> records;
+    bool hasMore = false;
+    std::uint64_t revision = 0; ///< of the store
+};
+
+/// \brief A change of one object.
+struct RecordChange
+{
+    std::uint64_t revision = 0;
+    std::string kind;
+    ObjectRecord object;
+    bool isRemoved = false;
+};
+
+/// \brief The stand-in's objects by kind and name, with one revision counter and a history.
+///
+/// Thread-safe.
 class StoreData
 {
 public:
-    std::optional<StoredObject> get(const std::string &key) const;
-    /// \brief Writes if the version is \a expected; yields the new version, or nullopt.
-    std::optional<ObjectVersion> put(const std::string &key, std::string value,
-                                     ObjectVersion expected);
-    /// \brief Writes whatever the version.
-    ObjectVersion overwrite(const std::string &key, std::string value);
-    bool remove(const std::string &key, ObjectVersion expected);
-    std::vector<ObjectInfo> list(const std::string &prefix) const;
-    /// \brief Changes under \a prefix after \a revision, and the revision now.
-    WatchResult changesAfter(const std::string &prefix, std::uint64_t revision) const;
+    /// A revision to compare with; none: whatever it is.
+    using Expected = std::optional<std::uint64_t>;
+
+    std::optional<ObjectRecord> get(const std::string &kind, const std::string &name) const;
+    StoreWrite create(const std::string &kind, const std::string &name, boost::json::value spec);
+    /// \brief Replaces content and finalizers; without a difference nothing changes.
+    StoreWrite replace(const std::string &kind, const std::string &name, Expected revision,
+                       boost::json::value spec, boost::json::array finalizers = {});
+    StoreWrite replaceStatus(const std::string &kind, const std::string &name, Expected revision,
+                             boost::json::value status);
+    StoreWrite remove(const std::string &kind, const std::string &name, Expected revision);
+    /// \brief Writes whatever is there; yields the new revision.
+    std::uint64_t overwrite(const std::string &kind, const std::string &name,
+                            boost::json::value spec);
+
+    /// \brief Objects whose name comes after \a after, in order of name.
+    RecordPage list(const std::string &kind, const std::string &after) const;
+    /// \brief Changes of \a kind after \a revision, oldest first; none if that history is gone.
+    std::optional<std::vector<RecordChange>> changesAfter(const std::string &kind,
+                                                          std::uint64_t revision) const;
+    std::uint64_t revision() const;
+    std::vector<std::string> kinds() const;
+    /// \brief Drops the history up to now.
+    void forgetHistory();
 
 private:
-    struct Entry
-    {
-        std::string value;
-        ObjectVersion version = 0;
-    };
-    ObjectVersion store(const std::string &key, std::string value);
+    ObjectRecord *find(const std::string &kind, const std::string &name);
+    void note(const std::string &kind, const ObjectRecord &object, bool isRemoved);
+    StoreWrite change(const std::string &kind, const std::string &name, Expected revision,
+                      const std::function<bool(ObjectRecord &)> &apply);
 
     mutable std::mutex m_mutex;
-    std::map<std::string, Entry> m_objects;
-    std::map<std::string, ObjectVersion> m_lastChange; ///< by key, removed ones included
-    std::uint64_t m_revision = 0;
+    std::map<std::string, std::map<std::string, ObjectRecord>> m_objects; ///< by kind, by name
+    std::deque<RecordChange> m_history;
+    std::uint64_t m_historyFrom = 0; ///< all changes after this revision are held
+    std::uint64_t m_revision = 1;
 };
 
 } // namespace gwt
--- a/test/BookingRangeTest.cpp
+++ b/test/BookingRangeTest.cpp
@@ -1,6 +1,7 @@
 #include "booking/Booking.h"
 #include "common/Sleep.h"
 #include "platform/Platform.h"
+#include "platform/StoreAccess.h"
 #include "standins/platform/FakePlatform.h"
 
 #include <boost/asio/use_future.hpp>
@@ -38,7 +39,8 @@
         : m_pool(2)
         , m_platform(m_pool.executor())
         , m_client(m_pool.executor())
-        , m_store(m_client, valueOf(m_platform.listen({"127.0.0.1", 0})))
+        , m_access(m_pool.executor(), m_client, valueOf(m_platform.listen({"127.0.0.1", 0})))
+        , m_store(m_access.store())
     { }
 
     ~BookingRangeTest() override { m_pool.stop(); }
@@ -101,7 +103,8 @@
     Metrics m_metrics;
     FakePlatform m_platform;
     HttpClient m_client;
-    HttpObjectStore m_store;
+    platform::StoreAccess m_access;
+    ObjectStore &m_store;
 };
 
 TEST_F(BookingRangeTest, ofTwoThatRaceOneHoldsAndTheOtherNamesIt)
--- a/test/BookingWorld.cpp
+++ b/test/BookingWorld.cpp
@@ -182,8 +182,8 @@
 BookingProcess::BookingProcess(const Member &self, const ConfigHolder &config,
                                const Endpoint &platform, StepTrap &trap)
     : m_client(m_pool.executor())
-    , m_store(m_client, platform)
-    , m_trapped(m_store, trap)
+    , m_access(m_pool.executor(), m_client, platform)
+    , m_trapped(m_access.store(), trap)
     , m_peers(m_pool.executor(), connectTimeout)
     , m_server(m_pool.executor())
     , m_engine({m_pool.executor(), m_trapped, config, m_sight, m_peers, m_metrics},
--- a/test/BookingWorld.h
+++ b/test/BookingWorld.h
@@ -5,6 +5,7 @@
 #include "booking/Booking.h"
 #include "entry/Entry.h"
 #include "platform/Platform.h"
+#include "platform/StoreAccess.h"
 #include "relay/Relay.h"
 #include "standins/backend/BackendFleet.h"
 #include "standins/platform/FakePlatform.h"
@@ -87,7 +88,7 @@
     Metrics m_metrics;
     FreezablePool m_pool;
     HttpClient m_client;
-    HttpObjectStore m_store;
+    platform::StoreAccess m_access;
     TrappedStore m_trapped;
     PeerClient m_peers;
     PeerServer m_server;
--- a/test/ConfigFleetTest.cpp
+++ b/test/ConfigFleetTest.cpp
@@ -2,6 +2,7 @@
 #include "TaskRunner.h"
 #include "control/Control.h"
 #include "platform/Platform.h"
+#include "platform/StoreAccess.h"
 
 #include <gtest/gtest.h>
 
@@ -80,7 +81,8 @@
     /// \brief Publishes the current set with another target of rank urgent.
     std::uint64_t publish(int targetMs)
     {
-        HttpObjectStore store(m_client, m_fleet.platform());
+        platform::StoreAccess access(m_pool.executor(), m_client, m_fleet.platform());
+        ObjectStore &store = access.store();
         ConfigReader reader(store);
         Publisher publisher(store);
         const auto current = runTask(m_pool, reader.current(Clock::now() + 20s));
--- a/test/FaultedBookings.h
+++ b/test/FaultedBookings.h
@@ -156,7 +156,7 @@
     std::vector<std::string> unlisted()
     {
         std::vector<std::string> names;
-        StoreData &store = m_world.platform().store();
+        KeyedObjects &store = m_world.platform().store();
         for (const ObjectInfo &object : store.list("bookings/")) {
             wire::BookingJournal journal;
             journal.ParseFromString(store.get(object.key)->value);
--- a/test/GwtctlTest.cpp
+++ b/test/GwtctlTest.cpp
@@ -2,6 +2,7 @@
 #include "control/Control.h"
 #include "http/HttpServer.h"
 #include "operator/Operator.h"
+#include "platform/StoreAccess.h"
 #include "standins/platform/FakePlatform.h"
 
 #include <gtest/gtest.h>
@@ -76,7 +77,7 @@
     OperatorReport run(Run command, const std::vector<std::string> &arguments)
     {
         m_options.arguments = arguments;
-        OperatorContext context(m_options);
+        OperatorContext context(m_options, platform::StoreAccess::connect);
         return command(context, m_options);
     }
 
@@ -222,7 +223,9 @@
     pointers.reserve(arguments.size());
     for (std::string &argument : arguments)
         pointers.push_back(argument.data());
-    EXPECT_EQ(runOperator(static_cast<int>(pointers.size()), pointers.data()), GetParam().status);
+    EXPECT_EQ(runOperator(static_cast<int>(pointers.size()), pointers.data(),
+                          platform::StoreAccess::connect),
+              GetParam().status);
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/KindFeed.h"
 #include "ScriptedServer.h"
+#include "platform/LoopTransport.h"
 
 #include <gtest/gtest.h>
 
@@ -52,7 +53,8 @@
 protected:
     void follow(ScriptedServer &server)
     {
-        m_store = std::make_unique<StoreClient>(m_context, m_timers, server.endpoint());
+        m_transport = std::make_unique<LoopTransport>(m_context, m_timers, server.endpoint());
+        m_store = std::make_unique<StoreClient>(*m_transport);
         m_feed
             = std::make_unique<KindFeed>(*m_store, m_timers, m_metrics, "servers", 1ms, m_recorder);
         m_feed->start();
@@ -62,6 +64,7 @@
     TimerQueue m_timers{m_context};
     Metrics m_metrics;
     Recorder m_recorder;
+    std::unique_ptr<LoopTransport> m_transport;
     std::unique_ptr<StoreClient> m_store;
     std::unique_ptr<KindFeed> m_feed;
 };
--- a/test/PublisherRaceTest.cpp
+++ b/test/PublisherRaceTest.cpp
@@ -2,6 +2,7 @@
 #include "TaskRunner.h"
 #include "control/Control.h"
 #include "platform/Platform.h"
+#include "platform/StoreAccess.h"
 #include "standins/platform/FakePlatform.h"
 
 #include <gtest/gtest.h>
@@ -84,7 +85,8 @@
         : m_pool(4)
         , m_platform(m_pool.executor())
         , m_client(m_pool.executor())
-        , m_store(m_client, valueOf(m_platform.listen({"127.0.0.1", 0})))
+        , m_access(m_pool.executor(), m_client, valueOf(m_platform.listen({"127.0.0.1", 0})))
+        , m_store(m_access.store())
         , m_publisher(m_store)
         , m_reader(m_store)
     { }
@@ -114,7 +116,8 @@
     WorkerPool m_pool;
     FakePlatform m_platform;
     HttpClient m_client;
-    HttpObjectStore m_store;
+    platform::StoreAccess m_access;
+    ObjectStore &m_store;
     Publisher m_publisher;
     ConfigReader m_reader;
 };
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -48,6 +48,7 @@
     : m_options(options)
     , m_random(options.seed)
     , m_folder(makeFolder())
+    , m_store(valueOf(m_platform.listen({"127.0.0.1", 0})))
 {
     const auto addBackend = [&](auto &backends, const std::string &service, int replica) {
         backends.push_back(std::make_unique<SoakBackend>(
@@ -66,8 +67,7 @@
         addBackend(m_versionBackends, "version-" + std::to_string(version), 1);
     publish();
     for (int i = 0; i < m_options.gateways; ++i) {
-        m_storeProxies.push_back(
-            std::make_unique<LoopbackProxy>(m_context, m_timers, m_store.endpoint()));
+        m_storeProxies.push_back(std::make_unique<LoopbackProxy>(m_context, m_timers, m_store));
         m_gateways.push_back(
             std::make_unique<SoakGateway>(m_folder, i, m_storeProxies.back()->endpoint()));
     }
@@ -97,7 +97,7 @@
                              {"state", state},
                              {"seq", 1},
                              {"warmupLeftMs", 0}};
-    m_store.put("servers", backend.id(), entry);
+    m_platform.data().overwrite("servers", backend.id(), entry);
 }
 
 void Soak::publish()
@@ -129,10 +129,10 @@
     once["service"] = "single";
     json::object version = route("version", "/version/", "idempotent");
     version["service"] = versionService;
-    m_store.put("config", "main",
-                json::object{{"version", m_version},
-                             {"routes", json::array{query, safe, once, version}},
-                             {"services", services}});
+    m_platform.data().overwrite("config", "main",
+                                json::object{{"version", m_version},
+                                             {"routes", json::array{query, safe, once, version}},
+                                             {"services", services}});
 }
 
 std::vector<Endpoint> Soak::seeds() const
@@ -150,10 +150,12 @@
                    std::move(action));
 }
 
-void Soak::disturbStore(FakeStore::Mode mode)
+void Soak::disturbStore(bool PlatformFaults::*fault)
 {
-    m_store.setMode(mode);
-    later([this] { m_store.setMode(FakeStore::Mode::Answers); });
+    PlatformFaults faults;
+    faults.*fault = true;
+    m_platform.setFaults(faults);
+    later([this] { m_platform.setFaults({}); });
 }
 
 void Soak::disturbBackend(SoakBackend::Mode mode)
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -4,7 +4,7 @@
 #include "SoakCaller.h"
 #include "SoakGateway.h"
 
-#include "FakeStore.h"
+#include "standins/platform/FakePlatform.h"
 
 #include <csignal>
 #include <functional>
@@ -56,15 +56,15 @@
     void later(std::function<void()> action);
     template <typename T>
     T &anyOf(std::vector<std::unique_ptr<T>> &things);
-    void disturbStore(FakeStore::Mode mode);
+    void disturbStore(bool PlatformFaults::*fault);
     void disturbBackend(SoakBackend::Mode mode);
     void disturbProxy(LoopbackProxy &proxy);
     void checkRuns();
     void checkRecovery();
 
-    void storeUnavailable() { disturbStore(FakeStore::Mode::Unavailable); }
-    void storeResets() { disturbStore(FakeStore::Mode::Resets); }
-    void storeSilent() { disturbStore(FakeStore::Mode::Silent); }
+    void storeUnavailable() { disturbStore(&PlatformFaults::isDown); }
+    void storeResets() { disturbStore(&PlatformFaults::resets); }
+    void storeSilent() { disturbStore(&PlatformFaults::isSilent); }
     void storeCut() { disturbProxy(anyOf(m_storeProxies)); }
     void backendSlow() { disturbBackend(SoakBackend::Mode::Slow); }
     void backendFull() { disturbBackend(SoakBackend::Mode::Full); }
@@ -86,7 +86,8 @@
     std::string m_folder;
     RunCounts m_runs;
     SoakFindings m_findings;
-    FakeStore m_store{m_context, m_timers};
+    FakePlatform m_platform{m_context.get_executor()};
+    Endpoint m_store;
     std::vector<std::string> m_shards;
     std::vector<std::unique_ptr<SoakBackend>> m_backends; ///< those that faults meet
     std::vector<std::unique_ptr<SoakBackend>> m_versionBackends; ///< one a configuration
