Admit queries by rank within a capacity learned from the shards' pressure

Cause: nothing bounded queries under a flood.

Change: PressureAdmission learns a capacity from how long half of a query's shards take to answer; stragglers do not raise it. The capacity goes to the ranks by urgency, each with a floor. Refusals come at once, Retry-After from the rate at which refused work is worked off (RetryAdvice, shared with the entry, now in module policy), spread, within a third of the time left. A request that waits for a connection is refused as soon as its usual work no longer fits its deadline, and one that was never sent gets 503, not 504.

--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -8,8 +8,6 @@
 #include "entry/RecentRequests.h"
 #include "entry/admission/AdmissionGate.h"
 #include "entry/admission/AdmissionPolicy.h"
-#include "entry/admission/RankShareMeter.h"
-#include "entry/admission/RetryAdvice.h"
 #include "entry/admission/SliceLoadTable.h"
 #include "entry/commands/BookingAnswer.h"
 #include "entry/commands/BookingBody.h"
--- a/src/entry/admission/AdmissionGate.cpp
+++ b/src/entry/admission/AdmissionGate.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Milliseconds shareWindow{2000};
+/// Callers of the project's own interface get whole seconds.
+constexpr std::chrono::seconds shortestRetry{1};
+constexpr std::chrono::seconds longestRetry{30};
 constexpr double largestWaitShare = 0.5; ///< of the time left, spent in the background queue
 
 std::unique_ptr<const AdmissionPolicy> makePolicy(const AdmissionOptions &options)
@@ -64,7 +67,7 @@
     , m_policy(makePolicy(options))
     , m_loads(options.concurrency)
     , m_shares(shareWindow)
-    , m_retryAdvice(shareWindow)
+    , m_retryAdvice(shareWindow, shortestRetry, longestRetry)
 { }
 
 Task<Outcome<std::shared_ptr<AdmissionTicket>>> AdmissionGate::admit(AdmissionQuery query,
--- a/src/entry/admission/AdmissionGate.h
+++ b/src/entry/admission/AdmissionGate.h
@@ -5,8 +5,8 @@
 #include "common/OneShot.h"
 #include "common/Outcome.h"
 #include "entry/admission/AdmissionPolicy.h"
-#include "entry/admission/RetryAdvice.h"
 #include "membership/Member.h"
+#include "policy/RetryAdvice.h"
 
 #include <deque>
 #include <map>
--- a/src/entry/admission/AdmissionPolicy.h
+++ b/src/entry/admission/AdmissionPolicy.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "control/ConfigObjects.h"
-#include "entry/admission/RankShareMeter.h"
 #include "entry/admission/SliceLoadTable.h"
+#include "policy/RankShareMeter.h"
 
 #include <memory>
 #include <string>
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -4,6 +4,7 @@
 #include "gateway/forwarding/Refusal.h"
 #include "gateway/forwarding/ShardQueryRun.h"
 #include "gateway/forwarding/SingleForward.h"
+#include "gateway/policy/PressureAdmission.h"
 
 #include <charconv>
 
@@ -45,10 +46,11 @@
     , m_registry(m_options.registryReturnGrace)
     , m_backends(PoolContext{context, timers, names, metrics, m_options.availabilityZone},
                  m_options.repeatBudget)
+    , m_admission([] { return std::make_unique<PressureAdmission>(); })
     , m_merge(recordBytes)
     , m_recorder(metrics)
-    , m_forwarding{timers, m_backends, m_hedges,   m_delivery, m_merge,
-                   names,  metrics,    m_recorder, m_fleetSize}
+    , m_forwarding{timers,  m_backends, m_hedges, m_delivery, m_admission,
+                   m_merge, names,      metrics,  m_recorder, m_fleetSize}
 { }
 
 void GatewayCore::onConfig(const RoutingConfig &config)
@@ -64,6 +66,7 @@
     m_limits = config.limits;
     m_routes = std::make_shared<const RouteTable>(config);
     m_backends.setLimits(*m_routes, m_fleetSize);
+    m_admission.retain(*m_routes);
 }
 
 void GatewayCore::onMembers(const std::vector<FleetMember> &members)
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -51,6 +51,7 @@
     BackendFleet m_backends;
     HedgeTimer m_hedges;
     DeliveryTime m_delivery;
+    AdmissionTable m_admission;
     const FixedSizeMerge m_merge;
     WeightedSplit m_split;
     RequestRecorder m_recorder;
--- a/src/gateway/backends/Leg.h
+++ b/src/gateway/backends/Leg.h
@@ -23,6 +23,9 @@
     Unknown ///< it was sent and may have run
 };
 
+/// Reason of a leg that was not sent while there was time to answer it.
+inline constexpr const char *waitExpired = "wait_expired";
+
 /// \brief The end of a leg.
 struct LegReply
 {
@@ -56,6 +59,7 @@
     std::shared_ptr<ClientConnection> connection;
     TimePoint sentAt;
     TimerQueue::Id expiry;
+    TimerQueue::Id waitExpiry; ///< while it waits
     bool isEnded = false;
 };
 
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -91,6 +91,13 @@
     leg->expiry = m_context.timers.at(leg->deadline + replyGrace, [this, leg] { expire(leg); });
     enqueue(leg);
     dispatch();
+    if (leg->server || leg->isEnded)
+        return;
+    // Sent later it could not be answered in time.
+    leg->waitExpiry = m_context.timers.at(leg->deadline - leg->usual, [this, leg] {
+        if (!leg->server)
+            expire(leg);
+    });
 }
 
 void ServicePool::enqueue(const std::shared_ptr<Leg> &leg)
@@ -222,6 +229,7 @@
     leg->server = choice.server;
     leg->connection = choice.connection;
     leg->sentAt = now;
+    m_context.timers.cancel(leg->waitExpiry);
     choice.server->beginLeg(now);
     const auto left = std::chrono::duration_cast<Milliseconds>(leg->deadline - now);
     auto accepts = [leg, &names = m_context.names](const WireResponse &response) {
@@ -286,6 +294,7 @@
 void ServicePool::release(const std::shared_ptr<Leg> &leg)
 {
     m_context.timers.cancel(leg->expiry);
+    m_context.timers.cancel(leg->waitExpiry);
     leg->isEnded = true;
     --m_openLegs;
     if (!leg->server) {
@@ -316,7 +325,7 @@
     if (leg->isEnded)
         return;
     LegReply reply;
-    reply.reason = "wait_expired";
+    reply.reason = waitExpired;
     if (leg->server) {
         reply.result = LegResult::Unknown;
         reply.backendId = leg->server->entry().id;
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -4,6 +4,7 @@
 #include "gateway/callers/CallerExchange.h"
 #include "gateway/forwarding/RecordMerge.h"
 #include "gateway/forwarding/RequestRecorder.h"
+#include "gateway/policy/AdmissionTable.h"
 #include "gateway/policy/AnswerPolicy.h"
 #include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
@@ -17,6 +18,7 @@
     BackendFleet &backends;
     HedgeTimer &hedges;
     DeliveryTime &delivery;
+    AdmissionTable &admission;
     const RecordMerge &merge;
     const HeaderNames &names;
     Metrics &metrics;
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -80,6 +80,13 @@
         && response.count(m_context.names.signature) > 0;
 }
 
+bool ServiceCall::mayHaveRun() const
+{
+    return m_mayHaveRun || std::any_of(m_legs.begin(), m_legs.end(), [](const auto &leg) {
+               return leg->server != nullptr;
+           });
+}
+
 std::string ServiceCall::asked() const
 {
     std::string text;
@@ -136,7 +143,8 @@
     const bool hasRun = reply.result == LegResult::Answered || reply.result == LegResult::Unknown;
     const bool isClientError = reply.result == LegResult::Answered
         && http::to_status_class(reply.response->result()) == http::status_class::client_error;
-    if ((hasRun && !m_plan.route->isIdempotent) || isClientError || !maySend())
+    const bool isTooLate = reply.reason == waitExpired;
+    if ((hasRun && !m_plan.route->isIdempotent) || isClientError || isTooLate || !maySend())
         return false;
     const TimePoint now = Clock::now();
     if (reply.result == LegResult::NotSent) {
--- a/src/gateway/forwarding/ServiceCall.h
+++ b/src/gateway/forwarding/ServiceCall.h
@@ -42,6 +42,8 @@
     bool isOpen() const { return static_cast<bool>(m_handler); }
     const std::string &service() const { return m_service; }
     int sends() const { return m_sends; }
+    /// \brief True if some backend server may have begun to work on it, or still may.
+    bool mayHaveRun() const;
     /// \brief The backend servers that were asked, separated by commas.
     std::string asked() const;
 
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -3,12 +3,12 @@
 #include "common/Log.h"
 #include "gateway/forwarding/Refusal.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 namespace {
 
-/// When to come back while too many shards have no backend server.
-constexpr Milliseconds shardsReturn{250};
 /// Legs of a caller that has left end by themselves in most cases; a connection that is closed
 /// must be opened again, so only those that are out for longer are broken off.
 constexpr Milliseconds abandonAfter{300};
@@ -51,7 +51,12 @@
             ++m_missing["no_server"];
     }
     if (reachable.size() < AnswerPolicy::minShards(query.shards.size(), query.minShare)) {
-        refuse(reachable.size());
+        refuse("shards_unreachable", reachable.size());
+        return;
+    }
+    const Duration work = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
+    if (!m_context.admission.admit(*m_plan.route, work, now)) {
+        refuse("overloaded", reachable.size());
         return;
     }
     const auto self = shared_from_this();
@@ -84,6 +89,8 @@
     if (reply.isSuccess) {
         const auto signature = (*reply.response)[m_context.names.signature];
         m_parts.push_back({std::string(signature), std::move(reply.response->body())});
+        if (2 * m_parts.size() >= m_plan.route->query.shards.size())
+            notePressure();
     } else {
         ++m_missing[reply.reason];
     }
@@ -102,7 +109,7 @@
         answer();
         return;
     case QueryVerdict::GiveUp:
-        giveUp(m_mayHaveRun || m_open > 0 ? 502 : 503, "too_few_shards");
+        giveUp(502, "too_few_shards");
         return;
     }
 }
@@ -139,6 +146,7 @@
     response.fields.emplace_back(m_context.names.partSignatures, std::move(signatures));
     response.fields.emplace_back(m_context.names.missingParts, std::to_string(missing));
     response.body = m_context.merge.merge(parts, query.topRecords);
+    m_context.admission.noteServed(*m_plan.route, Clock::now());
     const bool wasDue = m_open > 0;
     const TimePoint now = Clock::now();
     const RequestEnd end = missing > 0 ? RequestEnd::Partial : RequestEnd::Served;
@@ -152,28 +160,52 @@
         m_context.delivery.note(lateness);
 }
 
-void ShardQueryRun::refuse(std::size_t reachable)
+void ShardQueryRun::notePressure()
+{
+    if (std::exchange(m_isPressureNoted, true))
+        return;
+    const TimePoint now = Clock::now();
+    const TimePoint arrivedAt = m_plan.exchange->arrivedAt();
+    const bool isHalf = 2 * m_parts.size() >= m_plan.route->query.shards.size();
+    if (isHalf)
+        m_context.admission.noteHalf(*m_plan.route, arrivedAt, now);
+    else
+        m_context.admission.noteStalled(*m_plan.route, arrivedAt, now);
+}
+
+void ShardQueryRun::refuse(const std::string &reason, std::size_t reachable)
 {
     const TimePoint now = Clock::now();
-    m_context.recorder.countReason(RequestEnd::Refused, "shards_unreachable");
+    m_context.recorder.countReason(RequestEnd::Refused, reason);
+    m_context.admission.noteRefusal(*m_plan.route, now);
     if (m_context.recorder.note(RequestEnd::Refused, m_plan.route->rank, elapsed(), now)) {
         logInfo("query_refused",
                 {{"id", m_plan.request->id()},
                  {"route", m_plan.route->name},
-                 {"reason", "shards_unreachable"},
+                 {"reason", reason},
                  {"reachable", reachable},
                  {"shards", m_plan.route->query.shards.size()},
                  {"min_share", m_plan.route->query.minShare},
                  {"version", m_plan.routes->config().version}});
     }
     m_isEnded = true;
-    m_plan.exchange->respond(makeRefusal(503, "shards_unreachable", shardsReturn));
+    const Milliseconds back
+        = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
+    m_plan.exchange->respond(makeRefusal(503, reason, back));
+}
+
+bool ShardQueryRun::mayHaveRun() const
+{
+    return m_mayHaveRun || std::any_of(m_calls.begin(), m_calls.end(), [](const auto &call) {
+               return call->mayHaveRun();
+           });
 }
 
-void ShardQueryRun::giveUp(unsigned status, const std::string &reason)
+void ShardQueryRun::giveUp(unsigned statusIfRun, const std::string &reason)
 {
     if (m_isEnded)
         return;
+    const unsigned status = mayHaveRun() ? statusIfRun : 503;
     const TimePoint now = Clock::now();
     const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
     m_context.recorder.countReason(end, reason);
@@ -181,9 +213,12 @@
         logInfo("query_failed", endFields(reason, status));
     const auto exchange = m_plan.exchange;
     finish();
-    const bool isRefusal = status == 503;
-    exchange->respond(
-        makeRefusal(status, reason, isRefusal ? std::optional(shardsReturn) : std::nullopt));
+    std::optional<Milliseconds> back;
+    if (status == 503) {
+        m_context.admission.noteRefusal(*m_plan.route, now);
+        back = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
+    }
+    exchange->respond(makeRefusal(status, reason, back));
 }
 
 void ShardQueryRun::callerGone()
@@ -193,6 +228,8 @@
     const TimePoint now = Clock::now();
     if (m_context.recorder.note(RequestEnd::Abandoned, m_plan.route->rank, elapsed(), now))
         logInfo("caller_gone", endFields("caller_gone", 0));
+    if (!std::exchange(m_isPressureNoted, true))
+        m_context.admission.noteAbandoned(*m_plan.route, m_plan.exchange->arrivedAt(), now);
     m_isEnded = true;
     m_context.timers.cancel(m_hedgeTimer);
     m_context.timers.cancel(m_cutoffTimer);
@@ -240,6 +277,7 @@
 
 void ShardQueryRun::finish()
 {
+    notePressure();
     for (const auto &[reason, count] : m_missing)
         m_context.recorder.countMissing(reason, count);
     if (m_open > 0)
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -27,8 +27,12 @@
     void armHedge(Duration delay);
     void hedge();
     void answer();
-    void giveUp(unsigned status, const std::string &reason);
-    void refuse(std::size_t reachable);
+    /// \brief Ends the query without an answer: as refused, or with \a statusIfRun if something
+    /// may have run.
+    void giveUp(unsigned statusIfRun, const std::string &reason);
+    bool mayHaveRun() const;
+    void refuse(const std::string &reason, std::size_t reachable);
+    void notePressure();
     void callerGone();
     void finish();
     std::vector<LogField> endFields(const std::string &reason, unsigned status) const;
@@ -44,6 +48,7 @@
     bool m_isStarting = false;
     bool m_isEnded = false;
     bool m_mayHaveRun = false;
+    bool m_isPressureNoted = false;
     Duration m_reserved{0}; ///< of the target, for everything but the backend servers
     TimePoint m_cutoff; ///< when an answer with the minimum coverage is due
     TimerQueue::Id m_hedgeTimer;
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// When to come back while the service has no backend server.
-constexpr Milliseconds serviceReturn{250};
-/// When to come back after all backend servers were full.
-constexpr Milliseconds fullReturn{200};
 /// A request that ends this soon by itself is not broken off when its caller has left.
 constexpr Milliseconds abandonAfter{300};
 
@@ -32,7 +28,10 @@
     }
     const auto self = shared_from_this();
     m_plan.exchange->onCallerGone([self] { self->callerGone(); });
-    m_deadlineTimer = m_context.timers.at(m_plan.deadline, [self] { self->fail(504, "deadline"); });
+    m_deadlineTimer = m_context.timers.at(m_plan.deadline, [self] {
+        const bool mayHaveRun = self->m_call && self->m_call->mayHaveRun();
+        self->fail(mayHaveRun ? 504 : 503, "deadline");
+    });
     if (m_plan.route->isIdempotent)
         armHedge();
     m_call
@@ -81,6 +80,7 @@
     m_isEnded = true;
     stopTimers();
     const TimePoint now = Clock::now();
+    m_context.admission.noteServed(*m_plan.route, now);
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
     if (m_context.recorder.note(RequestEnd::Served, m_plan.route->rank, elapsed, now)) {
         logInfo("request_served",
@@ -122,8 +122,10 @@
     if (m_call)
         m_call->detach();
     std::optional<Milliseconds> retryAfter;
-    if (status == 503)
-        retryAfter = reason == "no_server" ? serviceReturn : fullReturn;
+    if (status == 503) {
+        m_context.admission.noteRefusal(*m_plan.route, now);
+        retryAfter = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
+    }
     m_plan.exchange->respond(makeRefusal(status, reason, retryAfter));
 }
 
--- /dev/null
+++ b/src/gateway/policy/PressureAdmission.cpp
@@ -0,0 +1,139 @@
+#include "gateway/policy/PressureAdmission.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace gwt {
+
+PressureAdmission::PressureAdmission(PressureAdmissionRules rules)
+    : m_rules(rules)
+{ }
+
+bool PressureAdmission::admit(int rank, Duration work, TimePoint now)
+{
+    adapt(now);
+    RankLoad &load = m_ranks[rank];
+    const double seconds = std::chrono::duration<double>(work).count();
+    load.offered += seconds;
+    if (!hasRoom(load))
+        return false;
+    load.credit = std::min(load.credit + load.share, 1.0);
+    if (load.credit < 1)
+        return false;
+    load.credit -= 1;
+    load.admitted += seconds;
+    ++load.unanswered;
+    return true;
+}
+
+bool PressureAdmission::hasRoom(const RankLoad &load) const
+{
+    // By Little's law the calm rate of work, in seconds a second, is the queries in progress.
+    return load.unanswered
+        < std::max<double>(m_rules.leastUnanswered, m_rules.unansweredFactor * load.calmRate);
+}
+
+void PressureAdmission::note(int rank, std::optional<double> pressure, TimePoint admittedAt,
+                             TimePoint now)
+{
+    adapt(now);
+    RankLoad &load = m_ranks[rank];
+    load.unanswered = std::max(0, load.unanswered - 1);
+    if (!pressure || admittedAt < m_cutAt)
+        return;
+    m_pressureSum += *pressure;
+    ++m_pressureSamples;
+}
+
+double PressureAdmission::admittedShare(int rank) const
+{
+    const auto load = m_ranks.find(rank);
+    return load == m_ranks.end() ? 1 : load->second.share;
+}
+
+double PressureAdmission::sum(double RankLoad::*part) const
+{
+    double sum = 0;
+    for (const auto &[rank, load] : m_ranks)
+        sum += load.*part;
+    return sum;
+}
+
+void PressureAdmission::adapt(TimePoint now)
+{
+    const Duration elapsed = now - m_intervalStart;
+    const bool isShort = m_pressureSamples < m_rules.minSamples;
+    if (elapsed < (isShort ? m_rules.longestInterval : m_rules.interval))
+        return;
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    m_intervalStart = now;
+    for (auto &[rank, load] : m_ranks) {
+        load.demand += m_rules.newDemandWeight * (load.offered / seconds - load.demand);
+        load.admittedRate = load.admitted / seconds;
+        load.offered = 0;
+        load.admitted = 0;
+    }
+    adaptCapacity(now);
+    m_pressureSum = 0;
+    m_pressureSamples = 0;
+    allot();
+}
+
+void PressureAdmission::cut(double pressure, TimePoint now)
+{
+    const double weight
+        = std::min(1.0, static_cast<double>(m_pressureSamples) / m_rules.fullSamples);
+    const double kept = 1 - weight * (1 - std::max(m_rules.strongestCut, 1 / pressure));
+    const double calmRate = sum(&RankLoad::calmRate);
+    const double used = isBounded() ? m_capacity : sum(&RankLoad::admittedRate);
+    const double least = isBounded() ? m_rules.leastCalmShare * calmRate : calmRate;
+    m_capacity = std::max({used * kept, least, std::numeric_limits<double>::min()});
+    m_cutAt = now;
+}
+
+void PressureAdmission::noteCalm()
+{
+    for (auto &[rank, load] : m_ranks)
+        load.calmRate += m_rules.newCalmWeight * (load.admittedRate - load.calmRate);
+}
+
+void PressureAdmission::adaptCapacity(TimePoint now)
+{
+    const bool isKnown = m_pressureSamples >= m_rules.minSamples;
+    const double pressure = isKnown ? m_pressureSum / m_pressureSamples : 0;
+    if (pressure > 1) {
+        cut(pressure, now);
+        return;
+    }
+    // Without an answer since the last cut nothing is known of its effect.
+    const bool isOpen = !isKnown && sum(&RankLoad::admittedRate) > 0;
+    if (isOpen || pressure > m_rules.calmPressure)
+        return;
+    noteCalm();
+    if (!isBounded())
+        return;
+    m_capacity *= m_rules.growth;
+    if (m_capacity > sum(&RankLoad::demand) * m_rules.freeFactor)
+        m_capacity = 0;
+}
+
+void PressureAdmission::allot()
+{
+    double floors = 0; // of the less urgent ranks
+    for (const auto &[rank, load] : m_ranks)
+        floors += std::min(load.demand, m_rules.floorShare * m_capacity);
+    double left = m_capacity;
+    for (auto &[rank, load] : m_ranks) {
+        if (!isBounded() || load.demand <= 0) {
+            load.share = 1;
+            continue;
+        }
+        const double floor = std::min(load.demand, m_rules.floorShare * m_capacity);
+        floors -= floor;
+        const double given = std::max(floor, std::min(load.demand, left - floors));
+        left -= given;
+        load.share = std::min(1.0, given / load.demand);
+    }
+}
+
+} // namespace gwt
--- a/src/entry/admission/RankShareMeter.cpp
+++ b/src/policy/RankShareMeter.cpp
@@ -1,4 +1,4 @@
-#include "entry/admission/RankShareMeter.h"
+#include "policy/RankShareMeter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/entry/admission/RetryAdvice.cpp
+++ b/src/policy/RetryAdvice.cpp
@@ -1,4 +1,4 @@
-#include "entry/admission/RetryAdvice.h"
+#include "policy/RetryAdvice.h"
 
 #include <algorithm>
 
@@ -6,14 +6,14 @@
 
 namespace {
 
-constexpr std::chrono::seconds shortestWait{1};
-constexpr std::chrono::seconds longestWait{30};
 constexpr double leastRate = 0.1; ///< searches per second taken as admitted in any case
 
 } // namespace
 
-RetryAdvice::RetryAdvice(Duration window)
+RetryAdvice::RetryAdvice(Duration window, Duration shortest, Duration longest)
     : m_window(window)
+    , m_shortest(shortest)
+    , m_longest(longest)
     , m_refusals(window)
 { }
 
@@ -27,10 +27,10 @@
 {
     const double refusedPerSecond = m_refusals.rateOf(index, rank, now);
     const double windows = refusedPerSecond / std::max(admittedPerSecond, leastRate);
-    const std::chrono::duration<double> longest = longestWait;
+    const std::chrono::duration<double> longest = m_longest;
     const std::chrono::duration<double> wait
         = std::min(longest, std::chrono::duration<double>(m_window) * windows);
-    return std::max<Duration>(shortestWait, std::chrono::duration_cast<Duration>(wait));
+    return std::max<Duration>(m_shortest, std::chrono::duration_cast<Duration>(wait));
 }
 
 } // namespace gwt
--- a/src/entry/admission/RetryAdvice.h
+++ b/src/policy/RetryAdvice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "entry/admission/RankShareMeter.h"
+#include "policy/RankShareMeter.h"
 
 namespace gwt {
 
@@ -11,7 +11,8 @@
 class RetryAdvice
 {
 public:
-    explicit RetryAdvice(Duration window);
+    /// \brief Refusals count for \a window; advice lies between \a shortest and \a longest.
+    RetryAdvice(Duration window, Duration shortest, Duration longest);
 
     void addRefusal(const std::string &index, const std::string &rank, TimePoint now);
     /// \brief Time to wait before a search of \a rank is sent again, within fixed bounds.
@@ -22,6 +23,8 @@
 
 private:
     Duration m_window;
+    Duration m_shortest;
+    Duration m_longest;
     RankShareMeter m_refusals;
 };
 
--- a/test/AdmissionPolicyTest.cpp
+++ b/test/AdmissionPolicyTest.cpp
@@ -290,7 +290,7 @@
 
 TEST_P(RetryAdviceTest, theAdviceGrowsWithTheRefusedWork)
 {
-    RetryAdvice advice(2s);
+    RetryAdvice advice(2s, 1s, 30s);
     TimePoint now{1h};
     for (int i = 0; i < GetParam().refusals; ++i) {
         now += 1s / std::max(1, GetParam().refusals);
--- a/test/GatewayQueryTest.cpp
+++ b/test/GatewayQueryTest.cpp
@@ -102,5 +102,32 @@
     EXPECT_TRUE(runUntil(m_context, closed, 1s));
 }
 
+TEST_F(GatewayQueryTest, aFloodIsRefusedAtOnceAndReachesNoServer)
+{
+    ScriptedServer &server = addServer("a", {okBody("0123456789abcdef"), 100ms});
+    addQueryRoute({"a"}, 1);
+    start();
+    constexpr int callers = 12;
+    std::map<unsigned, int> statuses;
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    for (int i = 0; i < callers; ++i)
+        connections.push_back(connect());
+    int answered = 0;
+    for (const auto &connection : connections) {
+        connection->exchange(request("/all/1"), false, nullptr, [&](Outcome<WireResponse> outcome) {
+            ++answered;
+            ASSERT_TRUE(isOk(outcome));
+            ++statuses[valueOf(outcome).result_int()];
+            const bool saysWhen = !fieldOf(valueOf(outcome), "Retry-After").empty();
+            EXPECT_EQ(saysWhen, valueOf(outcome).result_int() == 503);
+        });
+    }
+    ASSERT_TRUE(runUntil(m_context, [&] { return answered == callers; }));
+    const int admitted = PressureAdmissionRules().leastUnanswered;
+    EXPECT_EQ(statuses[200], admitted);
+    EXPECT_EQ(statuses[503], callers - admitted);
+    EXPECT_EQ(server.requests().size(), static_cast<std::size_t>(admitted));
+}
+
 } // namespace
 } // namespace gwt::test
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -209,6 +209,29 @@
     EXPECT_GT(requests, 1);
 }
 
+class GatewayUnsentTest : public GatewayTest, public testing::WithParamInterface<const char *>
+{ };
+
+TEST_P(GatewayUnsentTest, aRequestThatWaitedInVainIsRefusedAsNotRun)
+{
+    ScriptedServer &server = addServer("s", {okBody("ok"), 400ms});
+    addSingleRoute(true);
+    addQueryRoute({"s"}, 1);
+    m_config.services = {{"s", "/health", 1}}; // one connection for this process
+    start();
+    const auto first = connect();
+    first->exchange(request("/one/1"), false, nullptr, [](const Outcome<WireResponse> &) {});
+    run(50ms);
+    ASSERT_EQ(server.requests().size(), 1U);
+    const WireResponse refusal = ask(GetParam(), "X-Deadline-Ms: 100\r\n");
+    EXPECT_EQ(refusal.result_int(), 503U);
+    EXPECT_FALSE(fieldOf(refusal, "Retry-After").empty());
+    run(500ms);
+    EXPECT_EQ(server.requests().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, GatewayUnsentTest, testing::Values("/one/2", "/all/2"));
+
 TEST_F(GatewayTest, aConfigurationNeverGoesBack)
 {
     addServer("s", {okBody("new")});
