Refuse a request at once if the queue before it is too long

Change: expectedWait() counts the rounds that the legs ahead need; a leg that could not be answered in time afterwards ends at once as "queue_too_long".

Ruled out: a bound on the queue's length alone; a queue of short requests may be long.

Shown by GatewayTest.aRequestBehindAQueueThatIsTooLongIsRefusedAtOnce, seen failing first, and QueueWaitTest.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -32,6 +32,7 @@
 #include "gateway/policy/HedgeTimer.h"
 #include "gateway/policy/LogBudget.h"
 #include "gateway/policy/PressureAdmission.h"
+#include "gateway/policy/QueueWait.h"
 #include "gateway/policy/RepeatBudget.h"
 #include "gateway/routing/Route.h"
 #include "gateway/routing/RouteTable.h"
--- a/src/gateway/backends/Leg.h
+++ b/src/gateway/backends/Leg.h
@@ -25,6 +25,8 @@
 
 /// Reason of a leg that was not sent while there was time to answer it.
 inline constexpr const char *waitExpired = "wait_expired";
+/// Reason of a leg that would wait too long for that.
+inline constexpr const char *queueTooLong = "queue_too_long";
 
 /// \brief The end of a leg.
 struct LegReply
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backends/ServicePool.h"
 
 #include "common/Log.h"
+#include "gateway/policy/QueueWait.h"
 
 #include <algorithm>
 
@@ -91,10 +92,33 @@
     leg->expiry = m_context.timers.at(leg->deadline + replyGrace, [this, leg] { expire(leg); });
     enqueue(leg);
     dispatch();
-    if (leg->server || leg->isEnded)
+    if (!leg->server && !leg->isEnded)
+        boundWait(leg);
+}
+
+void ServicePool::boundWait(const std::shared_ptr<Leg> &leg)
+{
+    const TimePoint now = Clock::now();
+    QueueAhead ahead;
+    for (const std::shared_ptr<Leg> &waiting : m_queue) {
+        if (waiting == leg)
+            break;
+        ++ahead.legs;
+    }
+    for (const auto &[id, server] : m_servers) {
+        if (!isCandidate(*server, *leg, now))
+            continue;
+        ahead.connections += m_connectionShare;
+        ahead.inFlight += server->inFlight();
+    }
+    const TimePoint latest = leg->deadline - leg->usual; // sent later it is answered too late
+    if (now + expectedWait(ahead, leg->usual) > latest) {
+        LegReply reply;
+        reply.reason = queueTooLong;
+        end(leg, std::move(reply));
         return;
-    // Sent later it could not be answered in time.
-    leg->waitExpiry = m_context.timers.at(leg->deadline - leg->usual, [this, leg] {
+    }
+    leg->waitExpiry = m_context.timers.at(latest, [this, leg] {
         if (!leg->server)
             expire(leg);
     });
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -65,6 +65,8 @@
     bool isCandidate(const BackendServer &server, const Leg &leg, TimePoint now) const;
     bool hasCandidate(const Leg &leg, TimePoint now) const;
     Choice choose(const Leg &leg, TimePoint now);
+    /// \brief Ends \a leg if it waits and could not be answered in time, else bounds its wait.
+    void boundWait(const std::shared_ptr<Leg> &leg);
     void send(const std::shared_ptr<Leg> &leg, const Choice &choice, TimePoint now);
     void openConnection(const std::shared_ptr<BackendServer> &server);
     void onConnected(const std::shared_ptr<BackendServer> &server,
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -143,7 +143,7 @@
     const bool hasRun = reply.result == LegResult::Answered || reply.result == LegResult::Unknown;
     const bool isClientError = reply.result == LegResult::Answered
         && http::to_status_class(reply.response->result()) == http::status_class::client_error;
-    const bool isTooLate = reply.reason == waitExpired;
+    const bool isTooLate = reply.reason == waitExpired || reply.reason == queueTooLong;
     if ((hasRun && !m_plan.route->isIdempotent) || isClientError || isTooLate || !maySend())
         return false;
     const TimePoint now = Clock::now();
--- a/test/GatewayPolicyTest.cpp
+++ b/test/GatewayPolicyTest.cpp
@@ -5,6 +5,7 @@
 #include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
 #include "gateway/policy/LogBudget.h"
+#include "gateway/policy/QueueWait.h"
 #include "gateway/policy/RepeatBudget.h"
 
 #include <gtest/gtest.h>
@@ -219,5 +220,27 @@
         MergeCase{"lastByteDecides", {record('a', '1'), record('a', '2')}, 1, record('a', '2')}),
     [](const auto &info) { return info.param.name; });
 
+struct QueueWaitCase
+{
+    QueueAhead ahead;
+    Duration wait;
+};
+
+class QueueWaitTest : public testing::TestWithParam<QueueWaitCase>
+{ };
+
+TEST_P(QueueWaitTest, countsRoundsOfTheConnections)
+{
+    EXPECT_EQ(expectedWait(GetParam().ahead, 100ms), GetParam().wait);
+}
+
+// Legs that go first, legs in flight, connections.
+INSTANTIATE_TEST_SUITE_P(
+    All, QueueWaitTest,
+    testing::Values(QueueWaitCase{{0, 0, 1}, 0ms}, QueueWaitCase{{0, 1, 1}, 100ms},
+                    QueueWaitCase{{2, 1, 1}, 300ms}, QueueWaitCase{{3, 0, 4}, 0ms},
+                    QueueWaitCase{{3, 4, 4}, 100ms}, QueueWaitCase{{4, 4, 4}, 200ms},
+                    QueueWaitCase{{5, 0, 0}, 500ms}));
+
 } // namespace
 } // namespace gwt
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -232,6 +232,31 @@
 
 INSTANTIATE_TEST_SUITE_P(All, GatewayUnsentTest, testing::Values("/one/2", "/all/2"));
 
+TEST_F(GatewayTest, aRequestBehindAQueueThatIsTooLongIsRefusedAtOnce)
+{
+    ScriptedServer &server = addServer("s", {okBody("ok"), 300ms});
+    addSingleRoute(true);
+    m_config.routes.back().target = 2s; // while little is known, a request takes a tenth of it
+    m_config.services = {{"s", "/health", 1}}; // one connection for this process
+    start();
+    constexpr int callers = 5;
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    std::vector<unsigned> statuses;
+    for (int i = 0; i < callers; ++i)
+        connections.push_back(connect());
+    for (const auto &connection : connections) {
+        connection->exchange(request("/one/1", "X-Deadline-Ms: 720\r\n"), false, nullptr,
+                             [&](const Outcome<WireResponse> &outcome) {
+                                 statuses.push_back(valueOf(outcome).result_int());
+                             });
+    }
+    run(100ms);
+    // One is being answered; two can follow it in time.
+    EXPECT_EQ(statuses, std::vector<unsigned>({503U, 503U}));
+    EXPECT_EQ(server.requests().size(), 1U);
+    runUntil(m_context, [&] { return statuses.size() == callers; });
+}
+
 TEST_F(GatewayTest, aConfigurationNeverGoesBack)
 {
     addServer("s", {okBody("new")});
