Remove the registrations of hosts that are gone for good

Cause: members stay in the store for ever. Hosts are replaced under new names, and every lost one kept its share of each backend server's connections and of the budget of repeats: after as many replacements as there are hosts each process uses half of what it may.

Change: the first member in the common order probes the others in turn, one every 2 s, and removes one that was silent for a minute and three probes while others answered (MemberReaper, pure). The removal names the revision that was read. A process that misses itself among the members registers again.

Ruled out: heartbeats in the store (calls that grow with the fleet), and counting who asks whom (processes two levels down are never heard).

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -39,6 +39,7 @@
 #include "gateway/routing/WeightedSplit.h"
 #include "gateway/sharing/FleetMember.h"
 #include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/MemberReaper.h"
 #include "gateway/sharing/RegistryFeed.h"
 #include "gateway/sharing/SourceTree.h"
 #include "gateway/sharing/StateCodec.h"
--- a/src/gateway/sharing/RegistryFeed.h
+++ b/src/gateway/sharing/RegistryFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 
 namespace gwt {
 
@@ -13,6 +14,10 @@
     /// \brief Makes this process known to the others and learns of them once; \a onDone runs in
     /// any case, at the latest after a call's time-out.
     virtual void join(std::function<void()> onDone) = 0;
+    /// \brief Makes this process known again after its registration was removed.
+    virtual void joinAgain() = 0;
+    /// \brief Removes the registration of \a member unless it has changed.
+    virtual void retire(const std::string &member) = 0;
     /// \brief Begins to follow the registry; does nothing if it does already.
     virtual void follow() = 0;
     /// \brief Stops to follow it.
--- a/src/gateway/sharing/SourceTree.cpp
+++ b/src/gateway/sharing/SourceTree.cpp
@@ -42,6 +42,12 @@
     return sources(now).empty();
 }
 
+bool SourceTree::isFirst(TimePoint now) const
+{
+    const std::vector<const FleetMember *> members = present(now);
+    return !members.empty() && members.front()->name == m_self;
+}
+
 std::vector<FleetMember> SourceTree::sources(TimePoint now) const
 {
     const std::vector<const FleetMember *> members = present(now);
--- a/src/gateway/sharing/SourceTree.h
+++ b/src/gateway/sharing/SourceTree.h
@@ -31,6 +31,8 @@
     void setMembers(const std::vector<FleetMember> &members);
     /// \brief True if this process follows the registry itself.
     bool isWatcher(TimePoint now) const;
+    /// \brief True for one member alone, as each works it out: what is done once is its task.
+    bool isFirst(TimePoint now) const;
     /// \brief The members that this process asks, in turn; empty for a watcher.
     std::vector<FleetMember> sources(TimePoint now) const;
     /// \brief The first members other than this process, whoever follows the registry.
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -4,6 +4,8 @@
 #include "common/Sleep.h"
 #include "peer/PeerCodec.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 namespace {
@@ -45,6 +47,7 @@
     , m_pollsFailed(metrics.counter("gwt_gateway_polls_failed_total",
                                     "Questions to other processes that got no useful answer"))
     , m_tree(m_options.self.name)
+    , m_reaper(m_options.self.name)
     , m_client(m_executor, connectTimeout)
     , m_server(m_executor)
 { }
@@ -59,16 +62,53 @@
     Outcome<Endpoint> bound = m_server.listen(m_options.self.peer);
     if (!isOk(bound))
         return bound;
-    m_state.onNews([this] {
-        m_tree.setMembers(m_state.members());
-        for (asio::steady_timer &waiter : m_waiters)
-            waiter.cancel();
-    });
+    m_state.onNews([this] { onNews(); });
+    m_joinedAt = Clock::now();
     m_feed.join([this] { m_hasJoined = true; });
     spawn(m_executor, run());
+    spawn(m_executor, reap());
     return bound;
 }
 
+void StateSharing::onNews()
+{
+    const std::vector<FleetMember> &members = m_state.members();
+    m_tree.setMembers(members);
+    m_reaper.setMembers(members);
+    for (asio::steady_timer &waiter : m_waiters)
+        waiter.cancel();
+    const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &member) {
+        return member.name == m_options.self.name;
+    });
+    const TimePoint now = Clock::now();
+    if (isMember || members.empty() || now - m_joinedAt < m_options.joinPause)
+        return;
+    logWarning("membership_lost", {{"members", members.size()}});
+    m_joinedAt = now;
+    m_feed.joinAgain();
+}
+
+Task<void> StateSharing::reap()
+{
+    for (;;) {
+        co_await sleepFor(MemberReaper::s_probePause);
+        const TimePoint now = Clock::now();
+        const auto member
+            = m_tree.isFirst(now) && m_feed.isCurrent() ? m_reaper.next(now) : std::nullopt;
+        if (!member)
+            continue;
+        const wire::FleetStateRequest request = m_state.request(Milliseconds(0));
+        const CancelToken cancel;
+        const TimePoint deadline = now + pollWait + replySlack;
+        const auto reply = co_await callPeer<wire::FleetStateReply>(
+            m_client, member->peer, statePath, request, requestId, deadline, cancel);
+        if (!m_reaper.note(member->name, isOk(reply), Clock::now()))
+            continue;
+        logWarning("member_removed", {{"member", member->name}});
+        m_feed.retire(member->name);
+    }
+}
+
 Duration StateSharing::registryAge(TimePoint now)
 {
     if (m_isWatching && m_feed.isCurrent())
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -2,6 +2,7 @@
 
 #include "common/Metrics.h"
 #include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/MemberReaper.h"
 #include "gateway/sharing/RegistryFeed.h"
 #include "gateway/sharing/SourceTree.h"
 #include "peer/Peer.h"
@@ -18,6 +19,8 @@
 {
     FleetMember self;
     std::vector<Endpoint> seeds; ///< asked while no members are known
+    /// Between two registrations of this process; the news of one takes less.
+    Duration joinPause = std::chrono::seconds(5);
 };
 
 /// \brief Keeps a FleetState up to date: by the registry for a few processes, by these for the
@@ -33,7 +36,9 @@
 
 private:
     Task<void> run();
+    Task<void> reap();
     Task<bool> askOne(FleetMember source);
+    void onNews();
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
     Task<void> waitForNews(Duration limit);
     std::vector<FleetMember> sources(TimePoint now) const;
@@ -46,12 +51,14 @@
     RegistryFeed &m_feed;
     prometheus::Counter &m_pollsFailed;
     SourceTree m_tree;
+    MemberReaper m_reaper;
     PeerClient m_client;
     PeerServer m_server;
     std::list<asio::steady_timer> m_waiters; ///< requests that wait for news
     bool m_isWatching = false;
     bool m_hasJoined = false;
     std::size_t m_turn = 0;
+    TimePoint m_joinedAt; ///< when this process last asked to be registered
     /// When the registry was last heard, by this process or by the one that told it. Ages travel
     /// with the replies, so that processes that only ask each other notice that all are outdated.
     TimePoint m_heardAt;
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/MemberReaper.h"
 #include "gateway/sharing/SourceTree.h"
 #include "gateway/sharing/StateSharing.h"
 
@@ -74,6 +75,55 @@
     EXPECT_EQ(tree.sources(now + SourceTree::s_longestExclusion).empty(), seen.empty());
 }
 
+struct ReaperCase
+{
+    const char *name;
+    std::function<bool(const std::string &, Duration)> answers; ///< a member, after a time
+    std::set<std::string> removed;
+};
+
+class MemberReaperTest : public testing::TestWithParam<ReaperCase>
+{ };
+
+TEST_P(MemberReaperTest, onlyMembersThatAreGoneForGoodAreRemoved)
+{
+    MemberReaper reaper("host-0");
+    reaper.setMembers(makeMembers(7));
+    std::set<std::string> removed;
+    std::set<std::string> probed;
+    for (Duration at = 0s; at < 300s; at += 500ms) {
+        const auto member = reaper.next(start + at);
+        if (!member)
+            continue;
+        probed.insert(member->name);
+        if (reaper.note(member->name, GetParam().answers(member->name, at), start + at)) {
+            EXPECT_GE(at, MemberReaper::s_silence);
+            removed.insert(member->name);
+        }
+    }
+    EXPECT_EQ(probed.size(), 6U);
+    EXPECT_EQ(removed, GetParam().removed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All, MemberReaperTest,
+    testing::Values(
+        ReaperCase{"allAnswer", [](const auto &, Duration) { return true; }, {}},
+        ReaperCase{
+            "oneIsGone", [](const auto &name, Duration) { return name != "host-3"; }, {"host-3"}},
+        ReaperCase{"twoAreGone",
+                   [](const auto &name, Duration at) {
+                       return (name != "host-3" && name != "host-6") || at < 100s;
+                   },
+                   {"host-3", "host-6"}},
+        ReaperCase{"oneIsAwayForAWhile",
+                   [](const auto &name, Duration at) {
+                       return name != "host-3" || at < 100s || at > 145s;
+                   },
+                   {}},
+        ReaperCase{"thisProcessIsCutOff", [](const auto &, Duration) { return false; }, {}}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 /// Writes down what it is told.
 class Recorder : public StateObserver
 {
@@ -224,12 +274,16 @@
             m_state.setBackends({makeEntry("x")}, 10);
         }
     }
+    void joinAgain() override { ++joinedAgain; }
+    void retire(const std::string &member) override { retired.push_back(member); }
     void rest() override { isFollowing = false; }
     bool isCurrent() const override { return isFollowing && isReachable; }
     bool isLost() const override { return isFollowing && !isReachable; }
 
     bool isFollowing = false;
     bool isReachable = true;
+    int joinedAgain = 0;
+    std::vector<std::string> retired;
 
 private:
     FleetState &m_state;
@@ -242,7 +296,7 @@
     Process(boost::asio::io_context &context, const FleetMember &self,
             const std::vector<FleetMember> &members)
         : feed(state, members)
-        , sharing(context, SharingOptions{self, {}}, state, feed, metrics)
+        , sharing(context, SharingOptions{self, {}, 0s}, state, feed, metrics)
     { }
 
     Recorder recorder;
@@ -335,5 +389,19 @@
     EXPECT_TRUE(test::runUntil(m_context, [&] { return allHold(8); }));
 }
 
+TEST_F(StateSharingTest, aProcessWhoseRegistrationWasRemovedRegistersAgain)
+{
+    makeProcesses(3);
+    for (const auto &process : m_processes)
+        ASSERT_TRUE(isOk(process->sharing.start()));
+    Process &lost = *m_processes[0];
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return lost.state.members().size() == 3; }));
+    EXPECT_EQ(lost.feed.joinedAgain, 0);
+    std::vector<FleetMember> others = lost.state.members();
+    std::erase_if(others, [](const auto &member) { return member.name == "host-0"; });
+    lost.state.setMembers(others, 6);
+    EXPECT_EQ(lost.feed.joinedAgain, 1);
+}
+
 } // namespace
 } // namespace gwt
--- /dev/null
+++ b/test/PlatformFeedTest.cpp
@@ -0,0 +1,90 @@
+#include "platform/PlatformFeed.h"
+
+#include "ScriptedServer.h"
+#include "standins/platform/FakePlatform.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Keeps nothing of what it is told; the tests look at the FleetState.
+class SilentObserver : public StateObserver
+{
+public:
+    void onConfig(const RoutingConfig &) override { }
+    void onBackends(const std::vector<BackendEntry> &) override { }
+    void onBackendChange(const BackendChange &) override { }
+    void onMembers(const std::vector<FleetMember> &) override { }
+    void onRegistryReturn() override { }
+};
+
+class PlatformFeedTest : public testing::Test
+{
+protected:
+    PlatformFeedTest()
+        : m_store(valueOf(m_platform.listen({"127.0.0.1", 0})))
+        , m_feed(m_context, m_timers, m_metrics, m_store, {"host-a", {"127.0.0.1", 1}}, m_state)
+    { }
+
+    bool joins()
+    {
+        bool hasJoined = false;
+        m_feed.join([&] { hasJoined = true; });
+        return runUntil(m_context, [&] { return hasJoined && isRegistered("host-a"); });
+    }
+    bool isRegistered(const std::string &host)
+    {
+        return m_platform.data().get("gateways", host).has_value();
+    }
+    bool membersBecome(std::size_t count)
+    {
+        return runUntil(
+            m_context, [&] { return m_state.members().size() == count; }, 10s);
+    }
+
+    boost::asio::io_context m_context;
+    TimerQueue m_timers{m_context};
+    Metrics m_metrics;
+    SilentObserver m_observer;
+    FleetState m_state{m_observer};
+    FakePlatform m_platform{m_context.get_executor()};
+    Endpoint m_store;
+    platform::PlatformFeed m_feed;
+};
+
+TEST_F(PlatformFeedTest, aRetiredMemberLeavesTheStoreAndOneThatReturnedInTimeStays)
+{
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
+    ASSERT_TRUE(joins());
+    m_feed.follow();
+    ASSERT_TRUE(membersBecome(2));
+    // What has changed since it was read is not removed.
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:3"}});
+    m_feed.retire("host-b");
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return m_state.members().back().peer.port == 3; }, 10s));
+    EXPECT_TRUE(isRegistered("host-b"));
+    m_feed.retire("host-b");
+    EXPECT_TRUE(membersBecome(1));
+    EXPECT_FALSE(isRegistered("host-b"));
+}
+
+TEST_F(PlatformFeedTest, aRemovedRegistrationIsSeenAndMadeAgain)
+{
+    ASSERT_TRUE(joins());
+    m_feed.follow();
+    ASSERT_TRUE(membersBecome(1));
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
+    ASSERT_TRUE(membersBecome(2));
+    m_platform.data().remove("gateways", "host-a", std::nullopt);
+    ASSERT_TRUE(membersBecome(1));
+    EXPECT_EQ(m_state.members().front().name, "host-b");
+    m_feed.joinAgain();
+    EXPECT_TRUE(membersBecome(2));
+}
+
+} // namespace
+} // namespace gwt::test
