--- a/test/GatewayQueryTest.cpp
+++ b/test/GatewayQueryTest.cpp
@@ -110,6 +110,7 @@
     constexpr int callers = 12;
     std::map<unsigned, int> statuses;
     std::vector<std::shared_ptr<ClientConnection>> connections;
+    connections.reserve(callers);
     for (int i = 0; i < callers; ++i)
         connections.push_back(connect());
     int answered = 0;
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -242,6 +242,7 @@
     constexpr int callers = 5;
     std::vector<std::shared_ptr<ClientConnection>> connections;
     std::vector<unsigned> statuses;
+    connections.reserve(callers);
     for (int i = 0; i < callers; ++i)
         connections.push_back(connect());
     for (const auto &connection : connections) {
