--- a/src/gateway/policy/PressureAdmission.h
+++ b/src/gateway/policy/PressureAdmission.h
@@ -6,7 +6,7 @@
 
 namespace gwt {
 
-/// \brief Figures of PressureAdmission.
+/// \brief Figures of PressureAdmission, set by the flood trials of docs/POLICY.md.
 struct PressureAdmissionRules
 {
     Duration interval = Milliseconds(200); ///< between adaptations; a few queries of calm traffic
