Replace a check of kept connections that depended on the order of uses

Cause: RelayConnectionTest asked that the first owner holds a connection after its last use. A connection is closed on purpose after an untrusted use, and nothing says that the last use of some connection is a trusted one. Ruled out: a connection lost by the pacer or closed by the server (none was marked as not reusable).

Now: each owner must hold exactly the connections whose last use was a trusted one, once the closing ones are closed, and one after a further trusted use.

--- a/test/RelayConnectionTest.cpp
+++ b/test/RelayConnectionTest.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <map>
+#include <mutex>
 #include <thread>
 
 namespace gwt {
@@ -106,11 +109,29 @@
                 = co_await valueOf(taken)->exchange(std::move(request), deadline, {});
             m_refused += isOk(answered) ? 0 : 1;
             co_await sleepFor(hold);
+            noteLastUse(connections, *valueOf(taken), isTrusted);
             connections.give(server.address, std::move(valueOf(taken)), isTrusted);
         }
         ++m_done;
     }
 
+    void noteLastUse(const BackendConnections &owner, const HttpConnection &connection,
+                     bool isTrusted)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isKept[&owner][&connection] = isTrusted;
+    }
+    /// \brief Connections of \a owner whose last use was a trusted one.
+    int kept(const BackendConnections &owner)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto &uses = m_isKept[&owner];
+        return static_cast<int>(
+            std::count_if(uses.begin(), uses.end(), [](const auto &use) { return use.second; }));
+    }
+
+    std::mutex m_mutex; ///< a leaf in the lock order
+    std::map<const BackendConnections *, std::map<const HttpConnection *, bool>> m_isKept;
     WorkerPool m_pool{4};
     BookingLedger m_ledger;
     ServedLog m_served;
@@ -143,6 +164,16 @@
     EXPECT_EQ(m_done, uses);
     EXPECT_EQ(m_refused, 0);
     EXPECT_LE(m_backend.counts().peakConnections, serverConnections);
+    // Closing ones count until the server has closed them too.
+    const auto haveClosed = [this] {
+        return m_first.count(m_address) == kept(m_first)
+            && m_second.count(m_address) == kept(m_second);
+    };
+    for (int i = 0; i < 4000 && !haveClosed(); ++i)
+        std::this_thread::sleep_for(5ms);
+    EXPECT_EQ(m_first.count(m_address), kept(m_first));
+    EXPECT_EQ(m_second.count(m_address), kept(m_second));
+    runTask(m_pool, use(m_first, target(OwnerRank::First), Duration::zero(), true));
     EXPECT_GT(m_first.count(m_address), 0);
 }
 
