End requests whose body stalls

Cause: the time-out of a request's header was dropped once the header was complete, and nothing bounded the wait for its body: a caller that sent a length and then nothing held its connection for good, and a gateway that drains could not end it. Now each pause within a body may last as long as a connection may be idle; then the caller gets 408 (nothing was forwarded) and the connection is closed. Counted as body_timeout, one bad_request line.

Ruled out: a bound on the whole body, which would end slow but steady callers.

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -112,13 +112,18 @@
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_context.limits.maxHeaderBytes));
     m_parser->body_limit(m_context.limits.maxBodyBytes);
+    armTimeout(m_context.limits.idleTimeout);
+    parse();
+}
+
+void CallerConnection::armTimeout(Duration time)
+{
     m_context.timers.cancel(m_timeout);
     const std::weak_ptr<CallerConnection> weak = weak_from_this();
-    m_timeout = m_context.timers.after(m_context.limits.idleTimeout, [weak] {
+    m_timeout = m_context.timers.after(time, [weak] {
         if (const auto self = weak.lock())
             self->onTimeout();
     });
-    parse();
 }
 
 void CallerConnection::read()
@@ -157,12 +162,7 @@
         if (!m_hasBegun) {
             m_hasBegun = true;
             m_arrivedAt = Clock::now();
-            m_context.timers.cancel(m_timeout);
-            const std::weak_ptr<CallerConnection> weak = weak_from_this();
-            m_timeout = m_context.timers.after(m_context.limits.headerTimeout, [weak] {
-                if (const auto self = weak.lock())
-                    self->onTimeout();
-            });
+            armTimeout(m_context.limits.headerTimeout);
         }
         const bool hadHeader = m_parser->is_header_done();
         error_code failure;
@@ -172,7 +172,6 @@
             return;
         }
         if (!hadHeader && m_parser->is_header_done()) {
-            m_context.timers.cancel(m_timeout);
             const bool wantsContinue
                 = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
             error_code ignored;
@@ -182,10 +181,13 @@
         if (failure == http::error::need_more)
             break;
     }
-    if (m_parser->is_done())
+    if (m_parser->is_done()) {
         dispatch();
-    else
-        read();
+        return;
+    }
+    if (m_parser->is_header_done())
+        armTimeout(m_context.limits.idleTimeout); // a body may be long, but must not stall
+    read();
 }
 
 void CallerConnection::onTimeout()
@@ -196,22 +198,25 @@
         close();
         return;
     }
+    const std::string reason = m_parser->is_header_done() ? "body_timeout" : "header_timeout";
+    endBadRequest(408, reason, reason);
+}
+
+void CallerConnection::endBadRequest(unsigned status, const std::string &reason,
+                                     const std::string &problem)
+{
     m_context.metrics
         .counter("gwt_gateway_bad_requests_total", "Requests that could not be read",
-                 {{"reason", "header_timeout"}})
+                 {{"reason", reason}})
         .Increment();
-    write({408, {}, ""}, false, false);
+    logInfo("bad_request", {{"status", status}, {"problem", problem}});
+    write({status, {}, ""}, false, false);
 }
 
 void CallerConnection::reject(const error_code &failure)
 {
     const unsigned status = statusOf(failure);
-    m_context.metrics
-        .counter("gwt_gateway_bad_requests_total", "Requests that could not be read",
-                 {{"reason", std::to_string(status)}})
-        .Increment();
-    logInfo("bad_request", {{"status", status}, {"problem", failure.message()}});
-    write({status, {}, ""}, false, false);
+    endBadRequest(status, std::to_string(status), failure.message());
 }
 
 void CallerConnection::dispatch()
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -45,7 +45,9 @@
     void read();
     void onRead(const boost::system::error_code &failure, std::size_t count);
     void parse();
+    void armTimeout(Duration time);
     void onTimeout();
+    void endBadRequest(unsigned status, const std::string &reason, const std::string &problem);
     void reject(const boost::system::error_code &failure);
     void dispatch();
     void write(const CallerResponse &response, bool isHead, bool keepAlive);
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -92,6 +92,37 @@
                        404}),
     [](const auto &info) { return info.param.name; });
 
+struct StallCase
+{
+    std::string name;
+    std::string bytes; ///< after which the caller sends no more
+};
+
+class GatewayStallTest : public GatewayTest, public testing::WithParamInterface<StallCase>
+{ };
+
+TEST_P(GatewayStallTest, aRequestThatIsNeverCompletedIsEnded)
+{
+    ScriptedServer &server = addServer("s", {okBody("ok")});
+    addSingleRoute(true);
+    m_config.limits.headerTimeout = 30ms;
+    m_config.limits.idleTimeout = 30ms;
+    start();
+    const auto outcome = exchange(GetParam().bytes);
+    ASSERT_TRUE(isOk(outcome)) << errorOf(outcome).reason;
+    EXPECT_EQ(valueOf(outcome).result_int(), 408U);
+    EXPECT_EQ(fieldOf(valueOf(outcome), "Connection"), "close");
+    EXPECT_TRUE(server.requests().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, GatewayStallTest,
+    testing::Values(StallCase{"inTheHeader", postHead},
+                    StallCase{"beforeTheBody", postHead + "Content-Length: 3\r\n\r\n"},
+                    StallCase{"inTheBody", postHead + "Content-Length: 3\r\n\r\nab"},
+                    StallCase{"inAChunk", postHead + "Transfer-Encoding: chunked\r\n\r\n3\r\na"}),
+    [](const auto &info) { return info.param.name; });
+
 struct FailureCase
 {
     std::string name;
