Bound numbers of the platform's objects and fuzz the remaining decoders

Cause: a count above 2^32 in a foreign entry or in a configuration was cut to an int (slots 2^32 became one, attempts 0), and a time near the largest integer overflowed when added to the present time.

--- a/fuzz/PlatformStoreFuzz.cpp
+++ b/fuzz/PlatformStoreFuzz.cpp
@@ -1,27 +1,49 @@
 #include "platform/BackendDecoder.h"
 #include "platform/ConfigDecoder.h"
+#include "platform/HostDecoder.h"
+#include "platform/KeyMapping.h"
 #include "platform/StoreCodec.h"
 
+#include <cstdlib>
+
 using namespace gwt;
 
+namespace {
+
+void decodeAsEveryKind(const platform::StoreObject &object)
+{
+    platform::decodeBackend(object);
+    platform::decodeConfig(object.spec);
+    platform::decodeHost(object);
+    platform::decodeValue(object.spec);
+}
+
+void requireSameAfterStorage(std::string_view bytes)
+{
+    if (platform::decodeValue(platform::encodeValue(bytes)) != bytes)
+        std::abort();
+    if (platform::keyOf(platform::placeOf(bytes)) != bytes)
+        std::abort();
+}
+
+} // namespace
+
 /// \brief Replies of the platform's store: any bytes are read or refused, never a crash.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view body(reinterpret_cast<const char *>(data), size);
     const auto page = platform::decodePage(body);
     if (isOk(page)) {
-        for (const platform::StoreObject &object : valueOf(page).listing.objects) {
-            platform::decodeBackend(object);
-            platform::decodeConfig(object.spec);
-        }
+        for (const platform::StoreObject &object : valueOf(page).listing.objects)
+            decodeAsEveryKind(object);
     }
     const auto changes = platform::decodeChanges(body);
     if (isOk(changes)) {
-        for (const platform::StoreChange &change : valueOf(changes).changes) {
-            platform::decodeBackend(change.object);
-            platform::decodeConfig(change.object.spec);
-        }
+        for (const platform::StoreChange &change : valueOf(changes).changes)
+            decodeAsEveryKind(change.object);
     }
+    platform::decodeObject(body);
+    requireSameAfterStorage(body);
     platform::percentEncode(body);
     return 0;
 }
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -1,10 +1,15 @@
 #include "platform/BackendDecoder.h"
 #include "platform/ConfigDecoder.h"
+#include "platform/HostDecoder.h"
+#include "platform/JsonFields.h"
+#include "platform/KeyMapping.h"
 #include "platform/PlatformSettings.h"
 #include "platform/StoreCodec.h"
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace gwt::platform {
 namespace {
 
@@ -67,6 +72,19 @@
         ForeignCase{"stateIsList", "state", boost::json::array{"ready"}}),
     [](const auto &info) { return info.param.name; });
 
+constexpr std::int64_t aboveInt = std::int64_t(1) << 32U; // zero as an int
+
+TEST(BackendDecoderTest, numbersOutOfRangeCountAsTheLargestOnes)
+{
+    boost::json::object spec = goodEntry();
+    spec["slots"] = aboveInt;
+    spec["warmupLeftMs"] = std::numeric_limits<std::int64_t>::max();
+    const auto entry = decode(spec);
+    ASSERT_TRUE(entry);
+    EXPECT_EQ(entry->slots, largestCount);
+    EXPECT_GT(Clock::now() + entry->warmupLeft, Clock::now());
+}
+
 class ForeignSpecTest : public testing::TestWithParam<std::string>
 { };
 
@@ -78,6 +96,64 @@
 INSTANTIATE_TEST_SUITE_P(Values, ForeignSpecTest,
                          testing::Values("null", "[]", "{}", "\"text\"", "7", "true"));
 
+struct HostCase
+{
+    std::string name;
+    std::string spec;
+    std::optional<HostState> state; ///< none: the entry cannot be read
+};
+
+class HostDecoderTest : public testing::TestWithParam<HostCase>
+{ };
+
+TEST_P(HostDecoderTest, anEntryIsReadOrLeftOut)
+{
+    const auto host = decodeHost({"h", 3, boost::json::parse(GetParam().spec)});
+    ASSERT_EQ(host.has_value(), GetParam().state.has_value());
+    if (host) {
+        EXPECT_EQ(host->name, "h");
+        EXPECT_EQ(host->state, *GetParam().state);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, HostDecoderTest,
+    testing::Values(
+        HostCase{"live", R"({"address":"10.0.0.1","state":"live"})", HostState::Live},
+        HostCase{"leaving", R"({"address":"10.0.0.1","state":"leaving"})", HostState::Leaving},
+        HostCase{"stateIsNumber", R"({"address":"10.0.0.1","state":7})", HostState::Live},
+        HostCase{"noAddress", R"({"state":"live"})", std::nullopt},
+        HostCase{"addressIsList", R"({"address":["10.0.0.1"]})", std::nullopt},
+        HostCase{"null", "null", std::nullopt}, HostCase{"text", "\"h\"", std::nullopt}),
+    [](const auto &info) { return info.param.name; });
+
+struct StoredValueCase
+{
+    std::string name;
+    std::string spec;
+    std::optional<std::string> value; ///< none: it was not written by the project
+};
+
+class StoredValueTest : public testing::TestWithParam<StoredValueCase>
+{ };
+
+TEST_P(StoredValueTest, isReadOnlyIfItWasWrittenAsOne)
+{
+    EXPECT_EQ(decodeValue(boost::json::parse(GetParam().spec)), GetParam().value);
+}
+
+INSTANTIATE_TEST_SUITE_P(Specs, StoredValueTest,
+                         testing::Values(StoredValueCase{"whole", R"({"value":"QUJD"})", "ABC"},
+                                         StoredValueCase{"padded", R"({"value":"QUI="})", "AB"},
+                                         StoredValueCase{"empty", R"({"value":""})", ""},
+                                         StoredValueCase{"cut", R"({"value":"QUI"})", std::nullopt},
+                                         StoredValueCase{"notBase64", R"({"value":"QU*D"})",
+                                                         std::nullopt},
+                                         StoredValueCase{"number", R"({"value":7})", std::nullopt},
+                                         StoredValueCase{"missing", "{}", std::nullopt},
+                                         StoredValueCase{"null", "null", std::nullopt}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(StoreCodecTest, objectsThatCannotBeReadLeaveTheOthers)
 {
     const auto page = decodePage("{\"items\":[5,{\"meta\":{}},{\"meta\":{\"name\":\"a\"},"
@@ -132,6 +208,26 @@
     EXPECT_EQ(config.limits.idleTimeout, 400ms);
 }
 
+TEST(ConfigDecoderTest, numbersOutOfRangeCountAsTheLargestOnes)
+{
+    boost::json::value spec = boost::json::parse(goodConfig);
+    boost::json::object &route = spec.at("routes").as_array()[0].as_object();
+    route["attempts"] = aboveInt;
+    route["priority"] = aboveInt;
+    route["timeoutMs"] = std::numeric_limits<std::int64_t>::max();
+    boost::json::object &limits = spec.at("limits").as_object();
+    limits["maxHeaderBytes"] = aboveInt;
+    limits["idleTimeoutMs"] = std::numeric_limits<std::int64_t>::max();
+    const auto decoded = decodeConfig(spec);
+    ASSERT_TRUE(isOk(decoded));
+    const RoutingConfig &config = valueOf(decoded);
+    EXPECT_EQ(config.routes[0].maxAttempts, largestCount);
+    EXPECT_EQ(config.routes[0].rank, largestCount);
+    EXPECT_GT(Clock::now() + config.routes[0].timeout, Clock::now());
+    EXPECT_GT(static_cast<std::uint32_t>(config.limits.maxHeaderBytes), 100U);
+    EXPECT_GT(Clock::now() + config.limits.idleTimeout, Clock::now());
+}
+
 class BadConfigTest : public testing::TestWithParam<std::string>
 { };
 
