Keep a part of the repeat budget for sends that failed

Found by printing every leg: each process sent 6 legs a second to each such server, as the other one of its shard was full.

Change: RepeatBudget tells hedges from repairs. Denied ones are counted.

The module's test failed with first come, first served, kept as baseline.

--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -68,7 +68,7 @@
     const std::string first = leg->server->entry().id;
     if (std::find(m_tried.begin(), m_tried.end(), first) == m_tried.end())
         m_tried.push_back(first);
-    if (!m_pool.hasServer(now, m_tried) || !m_pool.budget().take(now, m_context.fleetSize))
+    if (!m_pool.hasServer(now, m_tried) || !takeRepeat(RepeatKind::Hedge, now))
         return;
     countRepeat("hedge");
     send();
@@ -165,7 +165,7 @@
             retryLater();
         return false;
     }
-    if (!m_pool.budget().take(now, m_context.fleetSize))
+    if (!takeRepeat(RepeatKind::Repair, now))
         return false;
     countRepeat(hasRun ? "failed" : "not_run");
     send();
@@ -176,7 +176,7 @@
 {
     if (std::find(m_tried.begin(), m_tried.end(), reply.backendId) == m_tried.end())
         m_tried.push_back(reply.backendId);
-    if (!m_legs.empty() || !m_pool.budget().take(now, m_context.fleetSize))
+    if (!m_legs.empty() || !takeRepeat(RepeatKind::Repair, now))
         return false;
     countRepeat("over_limit");
     // It may have run after all: no more servers are asked than the route allows to run it.
@@ -194,8 +194,8 @@
             return;
         self->m_tried.clear();
         const TimePoint now = Clock::now();
-        const bool maySend = self->m_pool.hasServer(now)
-            && self->m_pool.budget().take(now, self->m_context.fleetSize);
+        const bool maySend
+            = self->m_pool.hasServer(now) && self->takeRepeat(RepeatKind::Repair, now);
         if (maySend) {
             self->countRepeat("not_run");
             self->send();
@@ -209,6 +209,17 @@
     });
 }
 
+bool ServiceCall::takeRepeat(RepeatKind kind, TimePoint now)
+{
+    if (m_pool.budget().take(kind, now, m_context.fleetSize))
+        return true;
+    m_context.metrics
+        .counter("gwt_gateway_repeats_denied_total", "Repeats for which the budget had no room",
+                 {{"kind", kind == RepeatKind::Hedge ? "hedge" : "repair"}})
+        .Increment();
+    return false;
+}
+
 void ServiceCall::countRepeat(const std::string &kind)
 {
     m_context.metrics
--- a/src/gateway/policy/RepeatBudget.cpp
+++ b/src/gateway/policy/RepeatBudget.cpp
@@ -1,5 +1,7 @@
 #include "gateway/policy/RepeatBudget.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 RepeatBudget::RepeatBudget(RepeatBudgetRules rules)
@@ -11,8 +13,10 @@
     const Duration width = Duration(m_rules.window) / static_cast<int>(s_slices - 1);
     const std::int64_t number = now.time_since_epoch() / width;
     Slice &slice = m_slices[static_cast<std::size_t>(number) % s_slices];
-    if (slice.number != number)
-        slice = {number, 0, 0};
+    if (slice.number != number) {
+        slice = {};
+        slice.number = number;
+    }
     return slice;
 }
 
@@ -21,22 +25,46 @@
     ++current(now).firsts;
 }
 
-bool RepeatBudget::take(TimePoint now, int fleetSize)
+RepeatBudget::Usage RepeatBudget::usage(TimePoint now, int fleetSize)
 {
-    Slice &slice = current(now);
+    const std::int64_t newest = current(now).number;
+    Usage usage;
     double firsts = 0;
-    double repeats = 0;
+    double wanted = 0;
+    double recentlyWanted = 0;
     for (const Slice &each : m_slices) {
-        if (each.number + static_cast<std::int64_t>(s_slices) <= slice.number)
+        if (each.number + static_cast<std::int64_t>(s_slices) <= newest)
             continue;
         firsts += each.firsts;
-        repeats += each.repeats;
+        usage.hedges += each.hedges;
+        usage.repairs += each.repairs;
+        wanted += each.wantedRepairs;
+        if (each.number + s_recentSlices >= newest)
+            recentlyWanted += each.wantedRepairs;
+    }
+    usage.allowed = s_usedShare * (m_rules.ratio * firsts + m_rules.extra / std::max(1, fleetSize));
+    // The slice in progress is half over on average.
+    const double recentWindows = (s_recentSlices + 0.5) / static_cast<double>(s_slices - 1);
+    usage.expectedRepairs = std::max(wanted, recentlyWanted / recentWindows);
+    return usage;
+}
+
+bool RepeatBudget::take(RepeatKind kind, TimePoint now, int fleetSize)
+{
+    Slice &slice = current(now);
+    if (kind == RepeatKind::Repair)
+        ++slice.wantedRepairs;
+    const Usage used = usage(now, fleetSize);
+    if (used.hedges + used.repairs + 1 > used.allowed)
+        return false;
+    if (kind == RepeatKind::Repair) {
+        ++slice.repairs;
+        return true;
     }
-    const double allowed
-        = s_usedShare * (m_rules.ratio * firsts + m_rules.extra / std::max(1, fleetSize));
-    if (repeats + 1 > allowed)
+    const double reserved = m_rules.hedgeShare < 1 ? used.expectedRepairs : 0;
+    if (used.hedges + reserved + 1 > m_rules.hedgeShare * used.allowed)
         return false;
-    ++slice.repeats;
+    ++slice.hedges;
     return true;
 }
 
--- a/test/GatewayPolicyTest.cpp
+++ b/test/GatewayPolicyTest.cpp
@@ -10,6 +10,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace gwt {
 namespace {
 
@@ -88,7 +90,7 @@
     for (int i = 0; i < 1000; ++i) {
         const TimePoint now = start + i * 10ms;
         budget.countFirst(now);
-        taken += budget.take(now, 7) ? 1 : 0;
+        taken += budget.take(RepeatKind::Repair, now, 7) ? 1 : 0;
     }
     EXPECT_LE(taken, static_cast<int>(0.2 * 1000 + 70.0 / 7));
     EXPECT_GE(taken, static_cast<int>(0.8 * (0.2 * 1000 + 70.0 / 7)));
@@ -99,8 +101,89 @@
     RepeatBudget budget({0.2, 0, 10s});
     for (int i = 0; i < 100; ++i)
         budget.countFirst(start);
-    EXPECT_TRUE(budget.take(start, 1));
-    EXPECT_FALSE(budget.take(start + 12s, 1));
+    EXPECT_TRUE(budget.take(RepeatKind::Repair, start, 1));
+    EXPECT_FALSE(budget.take(RepeatKind::Repair, start + 12s, 1));
+}
+
+/// What a process of seven sees of one service while some of its servers refuse requests.
+struct RefusalLoad
+{
+    static constexpr Duration s_step = 50ms; ///< one first send each
+    static constexpr int s_hedgeEvery = 4; ///< steps between legs that are late
+    static constexpr int s_repairEvery = 10; ///< steps between refusals, once they have begun
+};
+
+struct RepeatCount
+{
+    int granted = 0;
+    int denied = 0;
+};
+
+/// \brief Plays \a time of traffic, with refusals if \a isRefusing.
+std::map<RepeatKind, RepeatCount> play(RepeatBudget &budget, TimePoint &now, Duration time,
+                                       bool isRefusing)
+{
+    std::map<RepeatKind, RepeatCount> counts;
+    const auto ask = [&](RepeatKind kind) {
+        ++(budget.take(kind, now, 7) ? counts[kind].granted : counts[kind].denied);
+    };
+    const TimePoint end = now + time;
+    for (int step = 0; now < end; ++step, now += RefusalLoad::s_step) {
+        budget.countFirst(now);
+        if (step % RefusalLoad::s_hedgeEvery == 0)
+            ask(RepeatKind::Hedge);
+        if (isRefusing && step % RefusalLoad::s_repairEvery == 0)
+            ask(RepeatKind::Repair);
+    }
+    return counts;
+}
+
+/// Of what the fleet's rules allow; the hedges' share of the allowance, less its safety margin and
+/// the slice in progress, is 0.46.
+constexpr double leastForHedges = 0.4;
+constexpr RepeatBudgetRules sevenProcesses{0.2, 54, 10s};
+
+TEST(RepeatBudgetTest, hedgesLeaveRoomForTheRepairsOfServersThatRefuse)
+{
+    RepeatBudget budget(sevenProcesses);
+    TimePoint now = start;
+    const RepeatCount calm = play(budget, now, 20s, false)[RepeatKind::Hedge];
+    EXPECT_GE(calm.granted, leastForHedges * (0.2 * 400 + 2 * 54 / 7.0));
+    const RepeatCount repairs = play(budget, now, 10s, true)[RepeatKind::Repair];
+    EXPECT_EQ(repairs.denied, 0) << "they alone are well within the allowance";
+}
+
+TEST(RepeatBudgetTest, hedgesReturnAWindowAfterTheLastRepair)
+{
+    RepeatBudget budget(sevenProcesses);
+    TimePoint now = start;
+    const RepeatCount before = play(budget, now, 20s, false)[RepeatKind::Hedge];
+    play(budget, now, 20s, true);
+    play(budget, now, 11s, false);
+    const RepeatCount after = play(budget, now, 20s, false)[RepeatKind::Hedge];
+    EXPECT_GE(after.granted, before.granted - RefusalLoad::s_hedgeEvery);
+}
+
+TEST(RepeatBudgetTest, hedgesAndRepairsTogetherStayWithinTheAllowance)
+{
+    RepeatBudget budget(sevenProcesses);
+    TimePoint now = start;
+    play(budget, now, 10s, true);
+    for (int window = 0; window < 5; ++window) {
+        auto counts = play(budget, now, 10s, true);
+        EXPECT_LE(counts[RepeatKind::Hedge].granted + counts[RepeatKind::Repair].granted,
+                  0.2 * 200 + 54 / 7.0);
+    }
+}
+
+TEST(RepeatBudgetTest, theBaselineLetsHedgesStarveRepairs)
+{
+    RepeatBudgetRules rules = sevenProcesses;
+    rules.hedgeShare = 1;
+    RepeatBudget budget(rules);
+    TimePoint now = start;
+    play(budget, now, 20s, false);
+    EXPECT_GT(play(budget, now, 10s, true)[RepeatKind::Repair].denied, 0);
 }
 
 TEST(HedgeTimerTest, theDelayFollowsTheLegTimesWithinTheTarget)
