Show what a gateway believes on /status and in gwtctl

Cause: gwtctl knew only the daemons of the project's own interface; of a gateway there were logs and metrics, but not what it believes now. The ready address serves /status (configuration and its age, registry, fleet, admission, each service with its repeats) and /status?service=NAME (each backend server with connections, load, slowness, failures). gwtctl status reads it, gwtctl backends SERVICE shows the servers, both as text or JSON.

The registry's age can be asked without changing it; RepeatBudget::usage() is a query. GatewayProcess lost a stop handler that no caller used. SnippetsTest starts a gateway and runs the new commands of OPERATIONS.md; it failed before it did so.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -42,7 +42,13 @@
                                      state);
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
     gwt::platform::SettingsWatch watch(timers, path, settings);
-    const auto started = process.start([&watch] { watch.reload(); }, [] {});
+    const gwt::GatewayStatus status(options, core, state, sharing);
+    const auto started = process.start([&watch] { watch.reload(); },
+                                       [&status](const std::string &service, bool isStopping) {
+                                           const gwt::TimePoint now = gwt::Clock::now();
+                                           return service.empty() ? status.summary(isStopping, now)
+                                                                  : status.service(service, now);
+                                       });
     if (!gwt::isOk(started)) {
         gwt::logError("start_failed", {{"detail", gwt::errorOf(started).detail}});
         return exitFailure;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/GatewayCore.h"
 #include "gateway/GatewayOptions.h"
 #include "gateway/GatewayProcess.h"
+#include "gateway/GatewayStatus.h"
 #include "gateway/backends/BackendEntry.h"
 #include "gateway/backends/BackendFleet.h"
 #include "gateway/backends/BackendRegistry.h"
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -42,6 +42,7 @@
     , m_names(names)
     , m_timers(timers)
     , m_metrics(metrics)
+    , m_configAppliedAt(Clock::now())
     , m_fleetSize(m_options.assumedFleetSize)
     , m_registry(m_options.registryReturnGrace)
     , m_backends(PoolContext{context, timers, names, metrics, m_options.availabilityZone},
@@ -55,7 +56,7 @@
 
 void GatewayCore::onConfig(const RoutingConfig &config)
 {
-    const std::uint64_t held = m_routes ? m_routes->config().version : 0;
+    const std::uint64_t held = configVersion();
     if (config.version <= held)
         return;
     logInfo("config_applied",
@@ -64,6 +65,7 @@
              {"routes", config.routes.size()},
              {"services", config.services.size()}});
     m_limits = config.limits;
+    m_configAppliedAt = Clock::now();
     m_routes = std::make_shared<const RouteTable>(config);
     m_backends.setLimits(*m_routes, m_fleetSize);
     m_admission.retain(*m_routes);
@@ -135,7 +137,7 @@
                  {"path", std::string(request.target())},
                  {"reason", reason},
                  {"status", status},
-                 {"version", m_routes ? m_routes->config().version : 0}});
+                 {"version", configVersion()}});
     }
     exchange.respond(makeRefusal(status, reason, retryAfter));
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -28,6 +28,12 @@
     /// \brief True once requests can be served.
     bool isReady() const { return m_routes && m_hasBackends; }
     const RequestLimits &limits() const { return m_limits; }
+    /// \brief Version of the configuration in force; 0: none.
+    std::uint64_t configVersion() const { return m_routes ? m_routes->config().version : 0; }
+    TimePoint configAppliedAt() const { return m_configAppliedAt; }
+    int fleetSize() const { return m_fleetSize; }
+    const BackendFleet &backends() const { return m_backends; }
+    const AdmissionTable &admission() const { return m_admission; }
     /// \brief Legs that have not ended.
     std::size_t openLegs() const { return m_backends.openLegs(); }
 
@@ -45,6 +51,7 @@
     Metrics &m_metrics;
     RequestLimits m_limits;
     std::shared_ptr<const RouteTable> m_routes; ///< null until a configuration is known
+    TimePoint m_configAppliedAt; ///< or when this process started
     bool m_hasBackends = false;
     int m_fleetSize;
     BackendRegistry m_registry;
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Milliseconds stopPoll{50};
+constexpr std::string_view serviceQuery = "?service=";
 
 } // namespace
 
@@ -28,10 +29,10 @@
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 { }
 
-Outcome<Done> GatewayProcess::start(std::function<void()> onReload, std::function<void()> onStop)
+Outcome<Done> GatewayProcess::start(std::function<void()> onReload, StatusPage status)
 {
     m_onReload = std::move(onReload);
-    m_onStop = std::move(onStop);
+    m_status = std::move(status);
     const Outcome<Endpoint> admin = m_adminServer.listen(m_listeners.readiness);
     if (!isOk(admin))
         return errorOf(admin);
@@ -68,7 +69,6 @@
     m_stopAsked = Clock::now();
     logInfo("stopping", {{"connections", m_callers.connections()}});
     m_callers.drain();
-    m_onStop();
     m_timers.after(m_options.idleCloseDelay, [this] { finishStop(); });
 }
 
@@ -98,6 +98,15 @@
             {200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_process.m_metrics.text()});
         return;
     }
+    if (path.substr(0, path.find('?')) == m_process.m_listeners.statusPath) {
+        const std::size_t query = path.find(serviceQuery);
+        const std::string service(
+            query == std::string_view::npos ? "" : path.substr(query + serviceQuery.size()));
+        const auto body
+            = boost::json::serialize(m_process.m_status(service, m_process.m_isStopping));
+        exchange->respond({200, {{"Content-Type", "application/json"}}, body});
+        return;
+    }
     exchange->respond(makeRefusal(404, "no_page"));
 }
 
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -4,6 +4,9 @@
 #include "gateway/callers/CallerServer.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+
+#include <functional>
 
 namespace gwt {
 
@@ -14,8 +17,12 @@
     Endpoint readiness;
     std::string readinessPath; ///< 200 while new connections are welcome, else 503
     std::string metricsPath = "/metrics"; ///< on the readiness address
+    std::string statusPath = "/status"; ///< on the readiness address; "?service=NAME" for one
 };
 
+/// \brief A page of the readiness address, as JSON; \a service is empty or names one.
+using StatusPage = std::function<boost::json::object(const std::string &service, bool isStopping)>;
+
 /// \brief Listeners, signals and the orderly stop of a gateway process.
 class GatewayProcess
 {
@@ -24,7 +31,7 @@
                    GatewayOptions options, GatewayListeners listeners, Metrics &metrics);
 
     /// \brief Opens the listeners. Errors: Unavailable "listen_failed".
-    Outcome<Done> start(std::function<void()> onReload, std::function<void()> onStop);
+    Outcome<Done> start(std::function<void()> onReload, StatusPage status);
 
 private:
     class AdminHandler : public RequestHandler
@@ -54,7 +61,7 @@
     CallerServer m_adminServer;
     boost::asio::signal_set m_signals;
     std::function<void()> m_onReload;
-    std::function<void()> m_onStop;
+    StatusPage m_status;
     TimePoint m_stopAsked;
     bool m_isStopping = false;
 };
--- /dev/null
+++ b/src/gateway/GatewayStatus.cpp
@@ -0,0 +1,118 @@
+#include "gateway/GatewayStatus.h"
+
+namespace gwt {
+
+namespace json = boost::json;
+
+namespace {
+
+std::int64_t milliseconds(Duration time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time).count();
+}
+
+json::object describe(const RepeatBudget::Usage &usage)
+{
+    return {{"allowed", usage.allowed}, {"hedges", usage.hedges}, {"repairs", usage.repairs}};
+}
+
+json::object describe(const BackendServer &server, TimePoint now)
+{
+    const BackendEntry &entry = server.entry();
+    return {{"id", entry.id},
+            {"address", toString(entry.address)},
+            {"availability_zone", entry.availabilityZone},
+            {"is_draining", entry.isDraining},
+            {"is_usable", server.isUsable()},
+            {"is_paused", server.score().isPaused(now)},
+            {"slots", entry.slots},
+            {"connections", server.connections()},
+            {"in_flight", server.inFlight()},
+            {"oldest_ms", milliseconds(server.oldestLeg(now))},
+            {"slowness", server.score().slowness(now)},
+            {"failure_rate", server.score().failureRate(now)}};
+}
+
+json::object summarize(const std::string &service, const ServicePool &pool, int fleetSize,
+                       TimePoint now)
+{
+    int usable = 0;
+    int paused = 0;
+    for (const auto &[id, server] : pool.servers()) {
+        usable += server->isUsable() ? 1 : 0;
+        paused += server->score().isPaused(now) ? 1 : 0;
+    }
+    return {{"service", service},
+            {"servers", pool.servers().size()},
+            {"usable", usable},
+            {"paused", paused},
+            {"connection_share", pool.connectionShare()},
+            {"waiting", pool.waiting()},
+            {"open_legs", pool.openLegs()},
+            {"repeats", describe(pool.budget().usage(now, fleetSize))}};
+}
+
+} // namespace
+
+GatewayStatus::GatewayStatus(const GatewayOptions &options, const GatewayCore &core,
+                             const FleetState &state, const StateSharing &sharing)
+    : m_options(options)
+    , m_core(core)
+    , m_state(state)
+    , m_sharing(sharing)
+{ }
+
+json::object GatewayStatus::header() const
+{
+    return {
+        {"name", m_options.hostName}, {"role", "gateway"}, {"generation", m_core.configVersion()}};
+}
+
+json::object GatewayStatus::summary(bool isStopping, TimePoint now) const
+{
+    json::object status = header();
+    const char *running = m_core.isReady() ? "ready" : "priming";
+    status["state"] = isStopping ? "draining" : running;
+    status["config"] = {{"version", m_core.configVersion()},
+                        {"applied_ms_ago", milliseconds(now - m_core.configAppliedAt())}};
+    status["registry"]
+        = {{"revision", m_state.backendRevision()}, {"is_watcher", m_sharing.isWatching()}};
+    const bool wasHeard = m_state.backendRevision() > 0;
+    if (wasHeard) {
+        const auto age = milliseconds(m_sharing.registryAge(now));
+        status["registry"].as_object()["heard_ms_ago"] = age;
+    }
+    json::array fleet;
+    for (const FleetMember &member : m_state.members())
+        fleet.push_back({{"name", member.name}, {"peer", toString(member.peer)}});
+    status["fleet"] = std::move(fleet);
+    json::array admission;
+    for (const AdmissionTable::Bound &bound : m_core.admission().bounds()) {
+        admission.push_back({{"first_shard", bound.firstShard},
+                             {"is_bounded", bound.isBounded},
+                             {"capacity", bound.capacity}});
+    }
+    status["admission"] = std::move(admission);
+    json::array services;
+    for (const auto &[service, pool] : m_core.backends().pools())
+        services.push_back(summarize(service, *pool, m_core.fleetSize(), now));
+    status["services"] = std::move(services);
+    return status;
+}
+
+json::object GatewayStatus::service(const std::string &service, TimePoint now) const
+{
+    json::object status = header();
+    json::array servers;
+    const auto &pools = m_core.backends().pools();
+    const auto pool = pools.find(service);
+    if (pool != pools.end()) {
+        status["summary"] = summarize(service, *pool->second, m_core.fleetSize(), now);
+        for (const auto &[id, server] : pool->second->servers())
+            servers.push_back(describe(*server, now));
+    }
+    status["servers"] = std::move(servers);
+    return status;
+}
+
+} // namespace gwt
--- a/src/gateway/backends/BackendFleet.h
+++ b/src/gateway/backends/BackendFleet.h
@@ -17,6 +17,10 @@
 
     /// \brief The pool of \a service, empty at first; the reference stays valid.
     ServicePool &pool(const std::string &service);
+    const std::unordered_map<std::string, std::unique_ptr<ServicePool>> &pools() const
+    {
+        return m_pools;
+    }
     void apply(const std::vector<BackendChange> &changes);
     /// \brief Takes the connection limits of \a routes, shared by \a fleetSize processes.
     void setLimits(const RouteTable &routes, int fleetSize);
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -32,6 +32,7 @@
     void removeServer(const std::string &id);
     /// \brief Connections that this process may hold to each backend server.
     void setConnectionShare(int connections) { m_connectionShare = connections; }
+    int connectionShare() const { return m_connectionShare; }
 
     /// \brief Sends \a leg as soon as a connection is free; its handler may run at once.
     void submit(const std::shared_ptr<Leg> &leg);
@@ -43,6 +44,7 @@
     /// \brief True if some backend server other than those of \a avoid can take work.
     bool hasServer(TimePoint now, const std::vector<std::string> &avoid = {}) const;
     RepeatBudget &budget() { return m_budget; }
+    const RepeatBudget &budget() const { return m_budget; }
     std::size_t waiting() const { return m_queue.size(); }
     /// \brief Legs that have not ended, those that nobody waits for included.
     std::size_t openLegs() const { return m_openLegs; }
--- a/src/gateway/policy/AdmissionTable.cpp
+++ b/src/gateway/policy/AdmissionTable.cpp
@@ -115,6 +115,14 @@
     return Milliseconds(spread(m_random));
 }
 
+std::vector<AdmissionTable::Bound> AdmissionTable::bounds() const
+{
+    std::vector<Bound> bounds;
+    for (const auto &[firstShard, set] : m_sets)
+        bounds.push_back({firstShard, set.isBounded, set.control->capacity()});
+    return bounds;
+}
+
 void AdmissionTable::retain(const RouteTable &routes)
 {
     std::set<std::string> named;
--- a/src/gateway/policy/AdmissionTable.h
+++ b/src/gateway/policy/AdmissionTable.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace gwt {
 
@@ -16,6 +17,14 @@
 class AdmissionTable
 {
 public:
+    /// \brief What one set of shards is taken to carry.
+    struct Bound
+    {
+        std::string firstShard;
+        bool isBounded = false;
+        double capacity = 0; ///< seconds of leg time a second
+    };
+
     using Factory = std::function<std::unique_ptr<AdmissionControl>()>;
 
     /// \brief \a makeControl makes the control of a set of shards that is first asked for.
@@ -38,6 +47,7 @@
     /// refused lately has been worked off, spread so that not all return at once.
     Milliseconds retryAfter(const Route &route, Duration timeLeft, TimePoint now);
 
+    std::vector<Bound> bounds() const;
     /// \brief Forgets the sets of shards that \a routes does not name.
     void retain(const RouteTable &routes);
 
--- a/src/gateway/policy/RepeatBudget.cpp
+++ b/src/gateway/policy/RepeatBudget.cpp
@@ -8,10 +8,15 @@
     : m_rules(rules)
 { }
 
-RepeatBudget::Slice &RepeatBudget::current(TimePoint now)
+std::int64_t RepeatBudget::sliceNumber(TimePoint now) const
 {
     const Duration width = Duration(m_rules.window) / static_cast<int>(s_slices - 1);
-    const std::int64_t number = now.time_since_epoch() / width;
+    return now.time_since_epoch() / width;
+}
+
+RepeatBudget::Slice &RepeatBudget::current(TimePoint now)
+{
+    const std::int64_t number = sliceNumber(now);
     Slice &slice = m_slices[static_cast<std::size_t>(number) % s_slices];
     if (slice.number != number) {
         slice = {};
@@ -25,9 +30,9 @@
     ++current(now).firsts;
 }
 
-RepeatBudget::Usage RepeatBudget::usage(TimePoint now, int fleetSize)
+RepeatBudget::Usage RepeatBudget::usage(TimePoint now, int fleetSize) const
 {
-    const std::int64_t newest = current(now).number;
+    const std::int64_t newest = sliceNumber(now);
     Usage usage;
     double firsts = 0;
     double wanted = 0;
--- a/src/gateway/policy/RepeatBudget.h
+++ b/src/gateway/policy/RepeatBudget.h
@@ -35,11 +35,21 @@
 class RepeatBudget
 {
 public:
+    /// \brief Counts of the window.
+    struct Usage
+    {
+        double allowed = 0;
+        double hedges = 0;
+        double repairs = 0;
+        double expectedRepairs = 0; ///< in a window, if they go on as of late
+    };
+
     explicit RepeatBudget(RepeatBudgetRules rules);
 
     void countFirst(TimePoint now);
     /// \brief Takes one repeat if the budget has room, with \a fleetSize processes sharing it.
     bool take(RepeatKind kind, TimePoint now, int fleetSize);
+    Usage usage(TimePoint now, int fleetSize) const;
 
 private:
     static constexpr std::size_t s_slices = 11; ///< the window and the slice in progress
@@ -58,17 +68,8 @@
         std::uint32_t wantedRepairs = 0; ///< granted or not
     };
 
-    /// \brief Counts of the window.
-    struct Usage
-    {
-        double allowed = 0;
-        double hedges = 0;
-        double repairs = 0;
-        double expectedRepairs = 0; ///< in a window, if they go on as of late
-    };
-
+    std::int64_t sliceNumber(TimePoint now) const;
     Slice &current(TimePoint now);
-    Usage usage(TimePoint now, int fleetSize);
 
     RepeatBudgetRules m_rules;
     std::array<Slice, s_slices> m_slices{};
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -109,11 +109,17 @@
     }
 }
 
-Duration StateSharing::registryAge(TimePoint now)
+Duration StateSharing::registryAge(TimePoint now) const
 {
-    if (m_isWatching && m_feed.isCurrent())
-        m_heardAt = now;
-    return now - m_heardAt;
+    const bool isHeard = m_isWatching && m_feed.isCurrent();
+    return isHeard ? Duration::zero() : now - m_heardAt;
+}
+
+Duration StateSharing::updateRegistryAge(TimePoint now)
+{
+    const Duration age = registryAge(now);
+    m_heardAt = now - age;
+    return age;
 }
 
 std::vector<FleetMember> StateSharing::sources(TimePoint now) const
@@ -156,7 +162,7 @@
         const std::vector<FleetMember> known = sources(now);
         const Duration maxAge
             = m_state.members().size() > smallFleet ? 2 * maxRegistryAge : maxRegistryAge;
-        const bool isLost = registryAge(now) > maxAge && !known.empty();
+        const bool isLost = updateRegistryAge(now) > maxAge && !known.empty();
         // Without a source that is current, the registry itself is asked until there is one.
         setWatching(m_tree.isWatcher(now) || isLost);
         if (known.empty()) {
@@ -207,13 +213,13 @@
 
 Task<wire::FleetStateReply> StateSharing::serve(wire::FleetStateRequest request, PeerRequest)
 {
-    const bool isOutdated = m_feed.isLost() || registryAge(Clock::now()) > maxRegistryAge;
+    const bool isOutdated = m_feed.isLost() || updateRegistryAge(Clock::now()) > maxRegistryAge;
     if (!isOutdated && !m_state.hasNews(request)) {
         const Milliseconds asked(request.wait_ms());
         co_await waitForNews(std::min<Duration>(asked, pollWait));
     }
     const TimePoint now = Clock::now();
-    wire::FleetStateReply reply = m_state.answer(request, registryAge(now), now);
+    wire::FleetStateReply reply = m_state.answer(request, updateRegistryAge(now), now);
     reply.set_has_lost_registry(m_isWatching && m_feed.isLost());
     co_return reply;
 }
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -33,6 +33,10 @@
 
     /// \brief Errors: Unavailable "listen_failed".
     Outcome<Endpoint> start();
+    /// \brief For how long the registry has not been heard, by this process or by its source.
+    Duration registryAge(TimePoint now) const;
+    /// \brief True while this process follows the registry itself.
+    bool isWatching() const { return m_isWatching; }
 
 private:
     Task<void> run();
@@ -42,7 +46,7 @@
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
     Task<void> waitForNews(Duration limit);
     std::vector<FleetMember> sources(TimePoint now) const;
-    Duration registryAge(TimePoint now);
+    Duration updateRegistryAge(TimePoint now);
     void setWatching(bool isWatching);
 
     const SharingOptions m_options;
--- a/src/operator/FleetStatus.cpp
+++ b/src/operator/FleetStatus.cpp
@@ -41,11 +41,11 @@
     return targets;
 }
 
-Task<void> askOne(HttpClient &client, Target target, std::size_t place,
+Task<void> askOne(HttpClient &client, Target target, std::string page, std::size_t place,
                   Gather<std::vector<DaemonStatus>> gather)
 {
     HttpRequest request;
-    request.target = "/status";
+    request.target = std::move(page);
     const Outcome<HttpResponse> response
         = co_await client.send(target.admin, std::move(request), Clock::now() + statusTimeout);
     DaemonStatus status;
@@ -68,12 +68,13 @@
     });
 }
 
-Task<std::vector<DaemonStatus>> askAll(HttpClient &client, std::vector<Target> targets)
+Task<std::vector<DaemonStatus>> askAll(HttpClient &client, std::vector<Target> targets,
+                                       std::string page)
 {
     const Gather<std::vector<DaemonStatus>> gather(static_cast<int>(targets.size()));
     const Executor executor = co_await asio::this_coro::executor;
     for (std::size_t place = 0; place < targets.size(); ++place)
-        spawn(executor, askOne(client, targets[place], place, gather));
+        spawn(executor, askOne(client, targets[place], page, place, gather));
     co_return co_await gather.take(Clock::now() + 2 * statusTimeout);
 }
 
@@ -104,12 +105,12 @@
 } // namespace
 
 Outcome<std::vector<DaemonStatus>> askFleet(OperatorContext &context,
-                                            const OperatorOptions &options)
+                                            const OperatorOptions &options, const std::string &page)
 {
     const Outcome<std::vector<Target>> targets = targetsOf(context, options);
     if (!isOk(targets))
         return errorOf(targets);
-    return context.run(askAll(context.client(), valueOf(targets)));
+    return context.run(askAll(context.client(), valueOf(targets), page));
 }
 
 MemberList membersOf(const std::vector<DaemonStatus> &fleet)
--- a/src/operator/FleetStatus.h
+++ b/src/operator/FleetStatus.h
@@ -25,11 +25,12 @@
 inline constexpr std::uint16_t relayAdminPort = 7102;
 inline constexpr std::uint16_t bookingAdminPort = 7103;
 
-/// \brief Asks the /status of all daemons: those of --admin, or of each live host of the list.
+/// \brief Asks the \a page of all daemons: those of --admin, or of each live host of the list.
 ///
 /// Errors: those of HostList::hosts().
 Outcome<std::vector<DaemonStatus>> askFleet(OperatorContext &context,
-                                            const OperatorOptions &options);
+                                            const OperatorOptions &options,
+                                            const std::string &page = "/status");
 
 /// \brief The members that the answering daemons see; each as the first daemon that names it
 /// describes it.
--- a/src/operator/Operator.h
+++ b/src/operator/Operator.h
@@ -10,6 +10,7 @@
 #include "operator/OperatorProgram.h"
 #include "operator/OperatorReport.h"
 #include "operator/commands/PublishCommand.h"
+#include "operator/queries/BackendsQuery.h"
 #include "operator/queries/CheckQuery.h"
 #include "operator/queries/ExplainQuery.h"
 #include "operator/queries/HistoryQuery.h"
--- a/src/operator/OperatorProgram.cpp
+++ b/src/operator/OperatorProgram.cpp
@@ -34,6 +34,8 @@
          "show objects: place, service, backend-server, rank"},
         {"history", "[COUNT]", 0, 1, true, runHistory, "list the newest generations"},
         {"status", "", 0, 0, false, runStatus, "list the daemons and what they hold"},
+        {"backends", "SERVICE", 1, 1, false, runBackends,
+         "show what each gateway believes of the backend servers of SERVICE"},
         {"explain", "SERVICE | booking KEY | request ID", 1, 2, true, runExplain,
          "tell who owns it and why, or what became of a recent search"},
     };
--- a/src/operator/queries/StatusQuery.cpp
+++ b/src/operator/queries/StatusQuery.cpp
@@ -18,6 +18,34 @@
     return std::to_string(std::max<std::int64_t>(0, age.count())) + " s ago";
 }
 
+/// \brief What a gateway believes of its sources and of the load; empty for other daemons.
+std::string gatewayText(const json::object &status)
+{
+    const json::value *registry = status.if_contains("registry");
+    if (!registry || !registry->is_object())
+        return {};
+    const json::object &source = registry->get_object();
+    const std::string heard = source.contains("heard_ms_ago")
+        ? "heard " + std::to_string(numberOf(source, "heard_ms_ago")) + " ms ago"
+        : "never heard";
+    std::string text = "  registry " + heard + ", "
+        + std::to_string(objectsOf(status, "fleet").size()) + " gateways, "
+        + std::to_string(objectsOf(status, "services").size()) + " services\n";
+    for (const json::object &service : objectsOf(status, "services")) {
+        const std::uint64_t usable = numberOf(service, "usable");
+        const std::uint64_t paused = numberOf(service, "paused");
+        if (usable == 0 || paused > 0)
+            text += "  service " + textOf(service, "service") + ": " + std::to_string(usable)
+                + " usable servers, " + std::to_string(paused) + " of them paused\n";
+    }
+    for (const json::object &set : objectsOf(status, "admission")) {
+        if (flagOf(set, "is_bounded"))
+            text += "  queries over " + textOf(set, "first_shard")
+                + " and others are refused in part\n";
+    }
+    return text;
+}
+
 /// \brief Adds the bookings whose outcome is not known, as the booking daemons list them.
 void addUnsettled(const std::vector<DaemonStatus> &fleet, OperatorReport &report)
 {
@@ -64,7 +92,8 @@
         const bool isSound = state == "ready" && daemon.generation == newest;
         wrong += isSound ? 0 : 1;
         report.text += daemon.label + "  " + state + "  generation "
-            + std::to_string(daemon.generation) + (isSound ? "" : "  !") + "\n";
+            + std::to_string(daemon.generation) + (isSound ? "" : "  !") + "\n"
+            + gatewayText(daemon.json);
         list.push_back(json::object{{"name", daemon.label},
                                     {"admin", toString(daemon.admin)},
                                     {"answering", daemon.isAnswering},
--- a/test/GwtctlTest.cpp
+++ b/test/GwtctlTest.cpp
@@ -170,6 +170,44 @@
     EXPECT_EQ(run(runStatus, {}).status, exitFailure);
 }
 
+TEST_F(GwtctlTest, statusTellsWhatAGatewayBelieves)
+{
+    m_status = R"({"name":"front-1","role":"gateway","state":"ready","generation":7,)"
+               R"("registry":{"heard_ms_ago":40},"fleet":[{"name":"front-1"}],)"
+               R"("services":[{"service":"a","usable":2,"paused":0},)"
+               R"({"service":"b","usable":2,"paused":1}],)"
+               R"("admission":[{"first_shard":"a","is_bounded":true}]})";
+    const OperatorReport report = run(runStatus, {});
+    EXPECT_EQ(report.status, exitOk);
+    EXPECT_EQ(report.text,
+              "front-1  ready  generation 7\n"
+              "  registry heard 40 ms ago, 1 gateways, 2 services\n"
+              "  service b: 2 usable servers, 1 of them paused\n"
+              "  queries over a and others are refused in part\n"
+              "1 daemons, 0 of them not ready on generation 7\n");
+}
+
+TEST_F(GwtctlTest, backendsShowsTheServersOfAService)
+{
+    m_status = R"({"name":"front-1","generation":7,"summary":{"waiting":1,"open_legs":3,)"
+               R"("repeats":{"allowed":28.6,"hedges":4,"repairs":2}},"servers":[{"id":"i-1",)"
+               R"("address":"10.0.0.1:80","is_usable":true,"is_paused":true,"connections":2,)"
+               R"("in_flight":1,"oldest_ms":70,"slowness":1.5,"failure_rate":0.25}]})";
+    const OperatorReport report = run(runBackends, {"s"});
+    EXPECT_EQ(report.status, exitOk);
+    EXPECT_EQ(report.text,
+              "front-1\n"
+              "  waiting 1  open legs 3  hedges 4.00 and repairs 2.00 of 28.60\n"
+              "  i-1  10.0.0.1:80  paused  connections 2  in flight 1  oldest 70 ms  "
+              "slowness 1.50  failures 0.25\n");
+    m_status = R"({"name":"front-1","servers":[]})";
+    EXPECT_EQ(run(runBackends, {"s"}).text, "front-1\n  knows no such service\n");
+    m_options.admins = {Endpoint("127.0.0.1", 1)};
+    EXPECT_EQ(run(runBackends, {"s"}).status, exitFailure);
+    m_options.admins.clear();
+    EXPECT_EQ(run(runBackends, {"s"}).status, exitUsage);
+}
+
 TEST_F(GwtctlTest, statusListsTheBookingsOfUnknownOutcome)
 {
     m_status = R"({"name":"booking@host-1","state":"ready","generation":3,"role":{"unsettled":[)"
--- a/test/SnippetsTest.sh
+++ b/test/SnippetsTest.sh
@@ -65,10 +65,52 @@
     done
 }
 
+# Starts a gateway on the fleet's platform, with one route, and waits until it is ready.
+start_gateway() {
+    local address=$net.0.110
+    curl -sf -o /dev/null "http://$P/-/objects/config" -d '{"meta":{"name":"main"},"spec":{"version":1,
+        "routes":[{"name":"r","hostname":"h","pathPrefix":"/","routeType":"idempotent","timeoutMs":1000,
+        "service":"balcao-roca-01"}],"services":[{"name":"balcao-roca-01","maxConnections":4}]}}'
+    cat >"$folder/gateway.toml" <<END
+nodeName = "front-1"
+zone = "z"
+seedNodes = ["$address:8106"]
+[listen]
+front = "$address:8104"
+ready = "$address:8108"
+controlPlane = "$address:8106"
+[bounds]
+graceS = 6
+drainMs = 3000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetExtra = 50
+[platform]
+address = "$P"
+readsPerS = 2000
+END
+    GODWITTRAY_SETTINGS=$folder/gateway.toml gwt-gateway >"$folder/gateway.log" 2>&1 &
+    gateway=$!
+    export G=$address:8108
+    for _ in $(seq 1 100); do
+        curl -sf -o /dev/null "http://$G/-/readiness" && return
+        sleep 0.1
+    done
+    cat "$folder/gateway.log"
+    fail "the gateway is not ready"
+}
+
+stop_all() {
+    [ -z "$gateway" ] || kill "$gateway" || true
+    fleet_stop >/dev/null 2>&1 || true
+    rm -rf "$folder"
+}
+
+gateway=
 failures=0
 net=$(free_network)
 folder=$(mktemp -d "${TMPDIR:-/tmp}/gwt-snippets-XXXXXX")
-trap 'fleet_stop >/dev/null 2>&1 || true; rm -rf "$folder"' EXIT
+trap stop_all EXIT
 export PATH=$build/bin:$PATH
 export P=$net.0.100:7000
 fleet_start "$build" mesa-da-debulha "$net" "$folder/run"
@@ -76,6 +118,7 @@
 ln -s "$folder/run/set" "$folder/examples/mesa-da-debulha"
 fleet_publish
 fleet_wait_ready
+start_gateway
 check_settings
 run_commands "$source_dir/README.md"
 check_answer
