Do not split a repeat budget of a few repeats

Cause: on the grown sites a process may repeat about three sends of a service in a window; 0.6 of that, less an extrapolation from single repairs, left hedges one or none, and queries over 90 and 135 shards need them.

--- a/src/gateway/policy/RepeatBudget.cpp
+++ b/src/gateway/policy/RepeatBudget.cpp
@@ -66,8 +66,10 @@
         ++slice.repairs;
         return true;
     }
-    const double reserved = m_rules.hedgeShare < 1 ? used.expectedRepairs : 0;
-    if (used.hedges + reserved + 1 > m_rules.hedgeShare * used.allowed)
+    const bool isSplit = m_rules.hedgeShare < 1 && used.allowed >= m_rules.leastToSplit;
+    const bool leavesRoom
+        = used.hedges + used.expectedRepairs + 1 <= m_rules.hedgeShare * used.allowed;
+    if (isSplit && !leavesRoom)
         return false;
     ++slice.hedges;
     return true;
--- a/src/gateway/policy/RepeatBudget.h
+++ b/src/gateway/policy/RepeatBudget.h
@@ -22,6 +22,9 @@
     /// Part of the allowance that hedges may use; docs/POLICY.md has the trials. One stands for
     /// the baseline, in which every repeat is as good as another.
     double hedgeShare = 0.6;
+    /// Repeats in a window from which on the allowance is split. Of fewer, a share is one or two,
+    /// and the need of repairs cannot be told from single ones.
+    double leastToSplit = 10;
 };
 
 /// \brief Bounds the sends of this process to one service beyond the first of each request.
--- a/test/GatewayPolicyTest.cpp
+++ b/test/GatewayPolicyTest.cpp
@@ -176,6 +176,19 @@
     }
 }
 
+TEST(RepeatBudgetTest, aSmallAllowanceIsNotSplit)
+{
+    RepeatBudget budget({0.2, 170, 10s});
+    constexpr int processes = 66; // 0.2 of 7 requests and 170 / 66 make 3 repeats
+    int hedges = 0;
+    for (int i = 0; i < 7; ++i) {
+        budget.countFirst(start + i * 1s);
+        EXPECT_TRUE(i > 0 || budget.take(RepeatKind::Repair, start, processes));
+        hedges += budget.take(RepeatKind::Hedge, start + i * 1s, processes) ? 1 : 0;
+    }
+    EXPECT_EQ(hedges, 2) << "all that the repair left";
+}
+
 TEST(RepeatBudgetTest, theBaselineLetsHedgesStarveRepairs)
 {
     RepeatBudgetRules rules = sevenProcesses;
