Give the fleet tests addresses of their own; lint keys free of the checkout's path

The test took free ports of 127.0.0.1 one after another, closing each probe before the next, and bound them later. GossipMembershipTest took its UDP ports the same way.

Change: each member gets a loopback address that only this process uses, as the soak's gateways have them; the function moves to test/LoopbackAddress.h. No check changed.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,8 @@
 # clang without precompiled headers, which clang cannot read when g++ wrote them.
 #
 # A source that was clean is not read again while it, the project's headers that it includes, its
-# compile command, the settings and the installed packages stay the same; GWT_LINT_CACHE names the folder that keeps this.
+# compile command, the settings and the installed packages stay the same; GWT_LINT_CACHE names the
+# folder that keeps this.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cache=${GWT_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/godwittray-lint}
@@ -20,9 +21,10 @@
 fi
 settings=$({ cat .clang-tidy scripts/lint.sh; dpkg-query -W -f '${Package} ${Version}\n'; } | sha256sum | cut -d' ' -f1)
 
-# Prints for each source its compile command, with paths that do not depend on the checkout.
+# Prints for each source its compile command, with paths that do not depend on the checkout. An
+# include path may be the checkout itself, without a slash behind it.
 commands() {
-    sed "s|$PWD/||g" build-lint/compile_commands.json \
+    sed "s|$PWD/||g; s|$PWD |. |g" build-lint/compile_commands.json \
         | awk -F'": "' '/^  "command"/ { command = $2 } /^  "file"/ { sub(/",?$/, "", $2); print $2, command }'
 }
 
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -3,6 +3,7 @@
 #include "gateway/sharing/SourceTree.h"
 #include "gateway/sharing/StateSharing.h"
 
+#include "LoopbackAddress.h"
 #include "ScriptedServer.h"
 
 #include <gtest/gtest.h>
@@ -15,6 +16,7 @@
 using namespace std::chrono_literals;
 
 const TimePoint start{1h};
+constexpr std::uint16_t peerPort = 7003; ///< of each process, on an address of its own
 
 std::vector<FleetMember> makeMembers(std::size_t count)
 {
@@ -309,15 +311,12 @@
 class StateSharingTest : public testing::Test
 {
 protected:
-    /// Processes on free ports of this host.
     void makeProcesses(std::size_t count)
     {
         std::vector<FleetMember> members;
         for (std::size_t i = 0; i < count; ++i) {
-            boost::asio::ip::tcp::acceptor probe(m_context,
-                                                 {boost::asio::ip::make_address("127.0.0.1"), 0});
-            const std::uint16_t port = probe.local_endpoint().port();
-            members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}});
+            const std::string address = test::ownLoopbackAddress(static_cast<int>(i));
+            members.push_back({"host-" + std::to_string(i), {address, peerPort}});
         }
         for (const FleetMember &member : members)
             m_processes.push_back(std::make_unique<Process>(m_context, member, members));
--- a/test/GossipMembershipTest.cpp
+++ b/test/GossipMembershipTest.cpp
@@ -1,6 +1,8 @@
 #include "common/WorkerPool.h"
 #include "membership/Membership.h"
 
+#include "LoopbackAddress.h"
+
 #include <boost/asio/ip/udp.hpp>
 
 #include <gtest/gtest.h>
@@ -33,26 +35,26 @@
     std::vector<Host> m_hosts;
 };
 
-std::uint16_t freeUdpPort()
+constexpr std::uint16_t gossipPort = 7004; ///< of each member, on an address of its own
+
+Endpoint gossipAddress(int number)
 {
-    asio::io_context context;
-    udp::socket socket(context, udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return socket.local_endpoint().port();
+    return {test::ownLoopbackAddress(number), gossipPort};
 }
 
 /// \brief One daemon's membership with its own threads, as in a process of its own.
 struct RunningMember
 {
-    RunningMember(int number, std::uint16_t port, std::vector<Endpoint> seeds)
+    RunningMember(int number, std::vector<Endpoint> seeds)
         : pool(1)
-        , membership(pool.executor(), hosts, metrics, member(number, port),
+        , membership(pool.executor(), hosts, metrics, member(number),
                      GossipSeeds{std::move(seeds), "host-", {}}, GossipOptions{})
     {
         EXPECT_TRUE(isOk(membership.start()));
     }
     ~RunningMember() { pool.stop(); }
 
-    static Member member(int number, std::uint16_t port)
+    static Member member(int number)
     {
         Member self;
         self.id = "relay@host-" + std::to_string(number);
@@ -60,7 +62,7 @@
         self.host = "host-" + std::to_string(number);
         self.availabilityZone = "az";
         self.peerAddress = {"127.0.0.1", 1};
-        self.gossipAddress = {"127.0.0.1", port};
+        self.gossipAddress = gossipAddress(number);
         return self;
     }
 
@@ -94,16 +96,14 @@
 protected:
     GossipMembershipTest()
     {
-        for (int i = 0; i < count; ++i)
-            m_ports.push_back(freeUdpPort());
         for (int i = 0; i < count; ++i)
             start(i);
     }
 
     void start(int number)
     {
-        const std::vector<Endpoint> seeds = {{"127.0.0.1", m_ports[0]}, {"127.0.0.1", m_ports[1]}};
-        m_members[number] = std::make_unique<RunningMember>(number, m_ports[number], seeds);
+        m_members[number] = std::make_unique<RunningMember>(
+            number, std::vector<Endpoint>{gossipAddress(0), gossipAddress(1)});
     }
 
     bool allSee(int subject, const std::function<bool(const std::optional<Member> &)> &isAsWanted)
@@ -118,7 +118,6 @@
     static bool isThere(const std::optional<Member> &member) { return member.has_value(); }
     static bool isGone(const std::optional<Member> &member) { return !member; }
 
-    std::vector<std::uint16_t> m_ports;
     std::map<int, std::unique_ptr<RunningMember>> m_members;
 };
 
@@ -166,7 +165,8 @@
 {
     asio::io_context context;
     udp::socket socket(context, udp::v4());
-    const udp::endpoint target(asio::ip::make_address("127.0.0.1"), m_ports[0]);
+    const Endpoint first = gossipAddress(0);
+    const udp::endpoint target(asio::ip::make_address(first.address), first.port);
     for (int i = 0; i < 50; ++i)
         socket.send_to(asio::buffer("not a datagram of ours " + std::to_string(i)), target);
     EXPECT_TRUE(waitFor([&] {
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -1,5 +1,7 @@
 #include "SoakGateway.h"
 
+#include "LoopbackAddress.h"
+
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -12,15 +14,6 @@
 
 namespace {
 
-/// A loopback address of the gateway's own: a free port of a shared one may be taken by somebody's
-/// outgoing connection while the process is down.
-std::string ownAddress(int number)
-{
-    const int process = static_cast<int>(::getpid());
-    return "127." + std::to_string(100 + process / 250 % 100) + "." + std::to_string(process % 250)
-        + "." + std::to_string(10 + number);
-}
-
 std::string quoted(const Endpoint &endpoint)
 {
     return "\"" + toString(endpoint) + "\"";
@@ -32,9 +25,9 @@
     : m_folder(std::move(folder))
     , m_name("gateway-" + std::to_string(number))
     , m_store(std::move(store))
-    , m_callers(ownAddress(number), 7001)
-    , m_readiness(ownAddress(number), 7002)
-    , m_peer(ownAddress(number), 7003)
+    , m_callers(ownLoopbackAddress(number), 7001)
+    , m_readiness(ownLoopbackAddress(number), 7002)
+    , m_peer(ownLoopbackAddress(number), 7003)
 { }
 
 SoakGateway::~SoakGateway()
