Hedge only where a second send can help

A late leg was sent once more to whichever other server was there; that one was as slow, so the hedge could not make the target, and took a slot from a first send and a repeat from a repair.

Change: HedgeTimer::canHelp. Before the target a second send goes only if the other server's expected latency fits into what is left; past it, when the query lacks its minimum coverage, once the first send has been out for twice what the other server is expected to take.

--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -177,9 +177,7 @@
             || (server->connections() < m_connectionShare && now >= server->connectsHeldUntil());
         if (!connection && !mayOpen)
             continue;
-        Duration cost = server->score().expected(
-            leg.usual, server->inFlight(), server->entry().slots, server->oldestLeg(now),
-            server->entry().availabilityZone != m_context.availabilityZone, now);
+        Duration cost = expectedLatency(*server, leg.usual, now);
         if (!connection)
             cost += connectCost;
         if (cost < bestCost) {
@@ -190,6 +188,25 @@
     return best;
 }
 
+Duration ServicePool::expectedLatency(const BackendServer &server, Duration usual,
+                                      TimePoint now) const
+{
+    const bool isOtherZone = server.entry().availabilityZone != m_context.availabilityZone;
+    return server.score().expected(usual, server.inFlight(), server.entry().slots,
+                                   server.oldestLeg(now), isOtherZone, now);
+}
+
+Duration ServicePool::expectedLatency(Duration usual, const std::vector<std::string> &avoid,
+                                      TimePoint now) const
+{
+    Duration least = Duration::max();
+    for (const auto &[id, server] : m_servers) {
+        if (isCandidate(*server, avoid, now))
+            least = std::min(least, expectedLatency(*server, usual, now));
+    }
+    return least;
+}
+
 void ServicePool::openConnection(const std::shared_ptr<BackendServer> &server)
 {
     if (server->connections() >= m_connectionShare)
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -43,6 +43,10 @@
 
     /// \brief True if some backend server other than those of \a avoid can take work.
     bool hasServer(TimePoint now, const std::vector<std::string> &avoid = {}) const;
+    /// \brief Least time in which a server other than those of \a avoid is expected to answer a
+    /// request whose usual latency is \a usual; the longest time if there is none.
+    Duration expectedLatency(Duration usual, const std::vector<std::string> &avoid,
+                             TimePoint now) const;
     RepeatBudget &budget() { return m_budget; }
     const RepeatBudget &budget() const { return m_budget; }
     std::size_t waiting() const { return m_queue.size(); }
@@ -66,6 +70,7 @@
                      TimePoint now) const;
     bool isCandidate(const BackendServer &server, const Leg &leg, TimePoint now) const;
     bool hasCandidate(const Leg &leg, TimePoint now) const;
+    Duration expectedLatency(const BackendServer &server, Duration usual, TimePoint now) const;
     Choice choose(const Leg &leg, TimePoint now);
     /// \brief Ends \a leg if it waits and could not be answered in time, else bounds its wait.
     void boundWait(const std::shared_ptr<Leg> &leg);
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -68,7 +68,10 @@
     const std::string first = leg->server->entry().id;
     if (std::find(m_tried.begin(), m_tried.end(), first) == m_tried.end())
         m_tried.push_back(first);
-    if (!m_pool.hasServer(now, m_tried) || !takeRepeat(RepeatKind::Hedge, now))
+    const TimePoint target = m_plan.exchange->arrivedAt() + m_plan.route->target;
+    const HedgeOutlook outlook{m_pool.expectedLatency(leg->usual, m_tried, now), target - now,
+                               m_plan.deadline - now, now - leg->sentAt};
+    if (!HedgeTimer::canHelp(outlook) || !takeRepeat(RepeatKind::Hedge, now))
         return;
     countRepeat("hedge");
     send();
--- a/src/gateway/policy/HedgeTimer.cpp
+++ b/src/gateway/policy/HedgeTimer.cpp
@@ -4,6 +4,10 @@
 
 namespace {
 
+/// Expected latencies at another server after which the first one seems to be silent rather than
+/// as busy as the other; docs/POLICY.md has the trials.
+constexpr int silentAge = 2;
+
 Duration shareOf(Duration whole, double share)
 {
     return std::chrono::duration_cast<Duration>(whole * share);
@@ -15,6 +19,15 @@
     : m_rules(rules)
 { }
 
+bool HedgeTimer::canHelp(const HedgeOutlook &outlook)
+{
+    if (outlook.toTarget > Duration::zero())
+        return outlook.expected <= outlook.toTarget;
+    // Past its target a query lacks its minimum coverage, and late is better than not at all.
+    const bool seemsSilent = outlook.age / silentAge >= outlook.expected;
+    return seemsSilent && outlook.expected <= outlook.toDeadline;
+}
+
 void HedgeTimer::note(const std::string &route, Duration legTime)
 {
     m_legTimes[route].add(legTime);
--- a/test/GatewayQueryTest.cpp
+++ b/test/GatewayQueryTest.cpp
@@ -56,6 +56,20 @@
     EXPECT_EQ(requests, 2);
 }
 
+TEST_F(GatewayQueryTest, aLateQueryIsStillAnsweredByAServerTooSlowForItsTarget)
+{
+    addServer("a", {signedPart("s", record('1')), 90ms});
+    addQueryRoute({"a"}, 1);
+    m_config.routes.back().target = 100ms;
+    start();
+    for (int i = 0; i < 12; ++i)
+        ask("/all/1"); // until the server is known to be slow
+    ScriptedServer &silent = addServer("a", ScriptedReply{""});
+    m_core.onBackendChange({m_entries.back().id, m_entries.back()});
+    EXPECT_EQ(ask("/all/1").result_int(), 200U);
+    EXPECT_EQ(silent.requests().size(), 1U);
+}
+
 TEST_F(GatewayQueryTest, aQueryThatCannotReachItsMinimumIsRefusedBeforeAnythingRuns)
 {
     ScriptedServer &server = addServer("a", {signedPart("sa", record('1'))});
