--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -203,9 +203,14 @@
 {
     if (m_current)
         return;
-    if (m_isWriting)
+    if (m_isWriting) {
+        m_context.metrics
+            .counter("gwt_gateway_callers_stalled_total",
+                     "Connections closed because the caller took too little of its answer")
+            .Increment();
         logInfo("caller_stalled",
                 {{"id", m_answeredId}, {"written", m_written}, {"bytes", m_output.size()}});
+    }
     if (m_isWriting || !m_hasBegun) {
         close();
         return;
