Hold the member list that /status and traces go through; list bookings of released ranges

Cause: two loops ran over `*membership.members()`. The call returns a shared pointer by value, which is destroyed before the first round; the list lives only until the membership publishes the next one. gwtctl asks for /status while the members of a starting fleet change several times a second. Ruled out by reading: the store client, the connections' strands, OneShot, the peer sessions. The crash itself was not reproduced. DaemonStatus takes the place of a function in Daemon.cpp; DaemonStatusTest gives out a list that is emptied when nobody holds it, and saw 0 of 2 members with the old loop. LayoutTest looks for such loops in all folders; it named the old one.

Cause: a range that is released with a booking without outcome was looked at by nobody until the membership changed next. The member that should hold it had looked before, while another held it, and counted that as done. RangeKeeper looks again after the time of a hand-over (2 s), and a process that releases such a range checks it once more. A look at a range whose holder is still believed reads no store, so the reads stay bounded.

--- a/src/booking/commands/RangeKeeper.cpp
+++ b/src/booking/commands/RangeKeeper.cpp
@@ -20,6 +20,8 @@
 constexpr int roundsBeforeRelease = 8; ///< so that a short-lived view moves no range
 constexpr int adoptionsPerRound = 32; ///< bounds the reads of the store
 constexpr Milliseconds adoptionRetryDelay{1000}; ///< after the store has failed
+/// Until a range that another member held is looked at again: the time it takes to hand it over.
+constexpr Milliseconds heldRetryDelay = roundInterval * roundsBeforeRelease;
 
 } // namespace
 
@@ -77,7 +79,7 @@
     Watch &watch = m_watches[number];
     if (watch.isUnchecked && !m_ranges.isPreferred(number))
         watch.isUnchecked = false;
-    return watch.isUnchecked;
+    return watch.isUnchecked && Clock::now() >= watch.nextLook.load();
 }
 
 Task<void> RangeKeeper::adopt(int number)
@@ -86,9 +88,14 @@
     watch.isUnchecked = false; // before the call: the membership may change meanwhile
     const Outcome<Done> adopted
         = co_await m_ranges.range(number)->adoptAbandoned(Clock::now() + storeTimeout);
-    if (isOk(adopted) || errorOf(adopted).code == ErrorCode::Conflict)
+    if (isOk(adopted))
         co_return;
     watch.isUnchecked = true;
+    if (errorOf(adopted).code == ErrorCode::Conflict) {
+        // Its holder may hand it over with bookings that have no outcome; no one else looks then.
+        watch.nextLook = Clock::now() + heldRetryDelay;
+        co_return;
+    }
     m_nextAdoption = Clock::now() + adoptionRetryDelay;
     m_metrics
         .counter("gwt_booking_adoption_failures_total",
@@ -117,18 +124,28 @@
     Watch &watch = m_watches[number];
     watch.roundsElsewhere = m_ranges.isPreferred(number) ? 0 : watch.roundsElsewhere + 1;
     if (watch.roundsElsewhere >= roundsBeforeRelease) {
-        const bool isReleased = co_await range->release(Clock::now() + storeTimeout);
-        if (isReleased) {
-            watch.questions.clear();
-            watch.roundsElsewhere = 0;
-            m_unsettled.set(number, {});
+        if (co_await release(number))
             co_return;
-        }
     }
     co_await settleAll(number);
     m_unsettled.set(number, range->unsettled());
 }
 
+Task<bool> RangeKeeper::release(int number)
+{
+    const RangePtr range = m_ranges.range(number);
+    Watch &watch = m_watches[number];
+    const bool hasUnsettled = !range->unsettled().empty();
+    if (!co_await range->release(Clock::now() + storeTimeout))
+        co_return false;
+    // Adopted again if this process turns out to be the one that should hold it.
+    watch.isUnchecked = watch.isUnchecked || hasUnsettled;
+    watch.questions.clear();
+    watch.roundsElsewhere = 0;
+    m_unsettled.set(number, {});
+    co_return true;
+}
+
 bool RangeKeeper::isDue(Watch &watch, const wire::BookingRecord &record) const
 {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -184,8 +201,7 @@
             const RangePtr range = m_ranges.range(number);
             if (!range->isHeld())
                 continue;
-            auto releasing = range->release(Clock::now() + storeTimeout);
-            co_await asio::co_spawn(range->strand(), std::move(releasing), asio::use_awaitable);
+            co_await asio::co_spawn(range->strand(), release(number), asio::use_awaitable);
         }
         if (m_ranges.heldCount() == 0)
             co_return;
--- a/src/booking/commands/RangeKeeper.h
+++ b/src/booking/commands/RangeKeeper.h
@@ -33,10 +33,11 @@
     };
 
     /// \brief What is remembered of a range between two rounds; used on its strand, but for the
-    /// atomic.
+    /// atomics.
     struct Watch
     {
         std::atomic<bool> isUnchecked = false; ///< its holder may have gone since it was looked at
+        std::atomic<TimePoint> nextLook = TimePoint{}; ///< not to be looked at before
         std::map<std::string, Question> questions; ///< by attempt
         int roundsElsewhere = 0; ///< rounds in which another member was preferred
         bool isWorking = false;
@@ -48,6 +49,8 @@
     Task<void> adopt(int number);
     Task<void> tend(int number, bool mayAdopt);
     Task<void> tendHeld(int number);
+    /// \brief Releases range \a number, on whose strand it runs; false if it is in use.
+    Task<bool> release(int number);
     Task<void> settleAll(int number);
     Task<void> settleOne(RangePtr range, wire::BookingRecord record);
     bool isDue(Watch &watch, const wire::BookingRecord &record) const;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -3,9 +3,9 @@
 #include "common/Log.h"
 #include "daemon/AdminServer.h"
 #include "daemon/CommandLine.h"
+#include "daemon/DaemonStatus.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/json.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -15,8 +15,6 @@
 
 namespace gwt {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr Milliseconds pollInterval{20};
@@ -53,33 +51,6 @@
     std::atomic<int> m_count = 0;
 };
 
-std::string statusText(const DaemonServices &services, const DaemonRole &role)
-{
-    json::object status;
-    status["name"] = services.options.name;
-    status["host"] = services.options.host;
-    status["availability_zone"] = services.options.availabilityZone;
-    status["version"] = GWT_VERSION;
-    status["state"] = std::string(toString(services.readiness.state()));
-    status["generation"] = services.config.current()->generation();
-    status["objects"] = services.config.current()->set().size();
-    json::array members;
-    for (const Member &member : *services.membership.members()) {
-        members.push_back(json::object{{"id", member.id},
-                                       {"host", member.host},
-                                       {"role", std::string(toString(member.role))},
-                                       {"availability_zone", member.availabilityZone},
-                                       {"state", std::string(toString(member.state))},
-                                       {"incarnation", member.incarnation},
-                                       {"ready", member.isReady},
-                                       {"generation", member.generation}});
-    }
-    status["members"] = std::move(members);
-    boost::system::error_code failure;
-    status["role"] = json::parse(role.statusJson(), failure);
-    return json::serialize(status);
-}
-
 /// \brief Polls until \a isDone, a second signal, or \a bound; true if done.
 template <typename Predicate>
 bool waitFor(Predicate isDone, const StopSignals &signals, Milliseconds bound)
@@ -157,10 +128,11 @@
 int run(DaemonServices &services, DaemonRole &role)
 {
     StopSignals signals(services.pool.executor());
+    const DaemonStatus status(services.options, services.readiness, services.config,
+                              services.membership, role);
     AdminServer admin(
         services.pool.executor(), services.readiness, services.metrics,
-        [&] { return statusText(services, role); },
-        [&](const std::string &path) { return role.inspect(path); });
+        [&] { return status.json(); }, [&](const std::string &path) { return role.inspect(path); });
     const Outcome<Endpoint> adminBound = admin.listen(services.options.admin);
     const Outcome<Done> started = role.start();
     const Outcome<Endpoint> peerBound = services.peerServer.listen(services.options.peer);
--- a/src/daemon/DaemonModule.h
+++ b/src/daemon/DaemonModule.h
@@ -9,5 +9,6 @@
 #include "daemon/DaemonOptions.h"
 #include "daemon/DaemonRole.h"
 #include "daemon/DaemonServices.h"
+#include "daemon/DaemonStatus.h"
 #include "daemon/ProgramRunner.h"
 #include "daemon/Readiness.h"
--- a/src/entry/queries/SearchService.cpp
+++ b/src/entry/queries/SearchService.cpp
@@ -133,7 +133,8 @@
 
 std::string SearchService::relayAt(const Endpoint &address) const
 {
-    for (const Member &member : *m_membership.members()) {
+    const std::shared_ptr<const MemberList> members = m_membership.members();
+    for (const Member &member : *members) {
         if (member.peerAddress == address)
             return member.id;
     }
--- a/test/BookingStepFaultTest.cpp
+++ b/test/BookingStepFaultTest.cpp
@@ -28,15 +28,6 @@
     world.platform().setFaults(faults);
 }
 
-void setBackends(BookingWorld &world, bool losesReplies)
-{
-    for (const auto &backend : world.backends().backends()) {
-        BackendBehaviour behaviour = backend->behaviour();
-        behaviour.losesBookingReplies = losesReplies;
-        backend->setBehaviour(behaviour);
-    }
-}
-
 /// \brief The same bookings through the other entry while the holder is out of sight.
 void retryElsewhere(FaultedBookings &run, const std::string &unaware = "")
 {
@@ -173,11 +164,11 @@
 
 void loseBackendReplies(FaultedBookings &run)
 {
-    setBackends(run.world(), true);
+    run.setRepliesLost(true);
     run.world().trap().letGo();
     run.sendAll(1);
     rest();
-    setBackends(run.world(), false);
+    run.setRepliesLost(false);
 }
 
 /// \brief Two faults at once: the holder is killed while the store is down.
--- /dev/null
+++ b/test/DaemonStatusTest.cpp
@@ -0,0 +1,54 @@
+#include "daemon/DaemonStatus.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+namespace gwt {
+namespace {
+
+/// \brief A membership whose list goes as soon as nobody holds it, as if replaced by another
+/// thread.
+class ReplacedMembership : public MembershipView
+{
+public:
+    std::shared_ptr<const MemberList> members() const override
+    {
+        m_list.resize(2);
+        m_list[0].id = "entry@host-1";
+        m_list[1].id = "relay@host-2";
+        return {&m_list, [](MemberList *list) { list->clear(); }};
+    }
+
+private:
+    mutable MemberList m_list;
+};
+
+class IdleRole : public DaemonRole
+{
+public:
+    Outcome<Done> start() override { return Done{}; }
+    bool isReady() const override { return true; }
+    void stopAccepting() override { }
+    Task<void> handOver() override { co_return; }
+    int requestsInProgress() const override { return 0; }
+    std::string statusJson() const override { return R"({"waiting":3})"; }
+};
+
+TEST(DaemonStatusTest, membersAreListedWhileTheMembershipReplacesThem)
+{
+    const DaemonOptions options;
+    const Readiness readiness;
+    const ConfigHolder config;
+    const ReplacedMembership membership;
+    const IdleRole role;
+    const DaemonStatus status(options, readiness, config, membership, role);
+    const boost::json::value told = boost::json::parse(status.json());
+    const boost::json::array &members = told.at("members").as_array();
+    ASSERT_EQ(members.size(), 2U);
+    EXPECT_EQ(members[0].at("id").as_string(), "entry@host-1");
+    EXPECT_EQ(members[1].at("id").as_string(), "relay@host-2");
+    EXPECT_EQ(told.at("role").at("waiting").as_int64(), 3);
+}
+
+} // namespace
+} // namespace gwt
--- a/test/FaultedBookings.h
+++ b/test/FaultedBookings.h
@@ -81,6 +81,16 @@
         spawn(holder.workers().strand(), holder.engine().handOver());
     }
 
+    /// \brief Whether the backend servers run bookings and then lose the replies.
+    void setRepliesLost(bool areLost)
+    {
+        for (const auto &backend : m_world.backends().backends()) {
+            BackendBehaviour behaviour = backend->behaviour();
+            behaviour.losesBookingReplies = areLost;
+            backend->setBehaviour(behaviour);
+        }
+    }
+
     void waitForCallers()
     {
         for (std::thread &caller : std::exchange(m_callers, {}))
@@ -108,6 +118,8 @@
             blame(name, "has no outcome and is not listed");
     }
 
+    const std::vector<std::string> &broken() const { return m_broken; }
+
     std::vector<std::string> judge()
     {
         judgeListing();
--- a/test/LayoutTest.cpp
+++ b/test/LayoutTest.cpp
@@ -138,6 +138,21 @@
     }
 }
 
+/// What a call returns is destroyed before the first round of a loop over what it points to.
+TEST(LayoutTest, noLoopRunsOverWhatATemporaryPointsTo)
+{
+    static const std::regex loop("for \\([^;]* : (\\*[^()]*\\(\\)|[^()]*\\(\\)->)");
+    for (const char *folder : {"src", "platform", "apps", "standins", "test", "bench"}) {
+        for (const Path &file : filesBelow(source / folder)) {
+            for (const std::string &line : linesOf(file)) {
+                const bool isMessageField = line.find(".mutable_") != std::string::npos;
+                EXPECT_TRUE(isMessageField || !std::regex_search(line, loop))
+                    << file << ": " << line;
+            }
+        }
+    }
+}
+
 TEST(LayoutTest, headersAreDocumented)
 {
     for (const char *folder : {"src", "standins"}) {
