Tell changes of backend servers that become known together as one news

Each of the 405 new entries was told on its own, and each telling set the connection share of all 365 services again and ordered all 66 members anew, on hosts with 0.12 cores. Change: KindFeed, FleetState and GatewayCore take all changes of one reply as a list. The shares are no longer set after a change of servers: a pool gets its share when the configuration or the fleet changes, and nothing else moves it. KindFeedTest and FleetStateTest check one telling for all events of a reply; the new FleetStateTest saw 405 tellings with the news inside the loop.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -88,10 +88,16 @@
     applyBackends(m_registry.replaceAll(entries, Clock::now()));
 }
 
-void GatewayCore::onBackendChange(const BackendChange &change)
+void GatewayCore::onBackendChanges(const std::vector<BackendChange> &changes)
 {
-    applyBackends(change.entry ? m_registry.update(*change.entry)
-                               : m_registry.remove(change.id, Clock::now()));
+    const TimePoint now = Clock::now();
+    std::vector<BackendChange> effects;
+    for (const BackendChange &change : changes) {
+        for (BackendChange &effect :
+             change.entry ? m_registry.update(*change.entry) : m_registry.remove(change.id, now))
+            effects.push_back(std::move(effect));
+    }
+    applyBackends(effects);
 }
 
 void GatewayCore::onRegistryReturn()
@@ -109,8 +115,6 @@
                     {{"backend", change.id}, {"service", change.entry->service}});
     }
     m_backends.apply(changes);
-    if (m_routes)
-        m_backends.setLimits(*m_routes, m_fleetSize);
     scheduleExpiry();
 }
 
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -20,7 +20,7 @@
     void onConfig(const RoutingConfig &config) override;
     /// \brief Takes a complete listing of the backend servers.
     void onBackends(const std::vector<BackendEntry> &entries) override;
-    void onBackendChange(const BackendChange &change) override;
+    void onBackendChanges(const std::vector<BackendChange> &changes) override;
     /// \brief Takes the processes that share connections and budgets, this one included.
     void onMembers(const std::vector<FleetMember> &members) override;
     void onRegistryReturn() override;
--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -55,15 +55,17 @@
     m_changes.pop_front();
 }
 
-void FleetState::changeBackend(const BackendChange &change, std::uint64_t revision)
+void FleetState::changeBackends(const std::vector<BackendChange> &changes, std::uint64_t revision)
 {
-    if (change.entry)
-        m_entries[change.id] = *change.entry;
-    else
-        m_entries.erase(change.id);
     m_backendRevision = std::max(m_backendRevision, revision);
-    log(change, m_backendRevision);
-    m_observer.onBackendChange(change);
+    for (const BackendChange &change : changes) {
+        if (change.entry)
+            m_entries[change.id] = *change.entry;
+        else
+            m_entries.erase(change.id);
+        log(change, m_backendRevision);
+    }
+    m_observer.onBackendChanges(changes);
     tellNews();
 }
 
@@ -152,9 +154,10 @@
             }
             setBackends(entries, reply.backend_revision());
         } else {
+            std::vector<BackendChange> changes;
             for (const auto &message : reply.changes())
-                changeBackend(decode(message), reply.backend_revision());
-            m_backendRevision = reply.backend_revision();
+                changes.push_back(decode(message));
+            changeBackends(changes, reply.backend_revision());
         }
     }
     if (reply.member_revision() > m_memberRevision) {
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -23,7 +23,8 @@
 
     virtual void onConfig(const RoutingConfig &config) = 0;
     virtual void onBackends(const std::vector<BackendEntry> &entries) = 0;
-    virtual void onBackendChange(const BackendChange &change) = 0;
+    /// \brief Changes that became known together, oldest first.
+    virtual void onBackendChanges(const std::vector<BackendChange> &changes) = 0;
     virtual void onMembers(const std::vector<FleetMember> &members) = 0;
     /// \brief The registry answers again after an outage; entries may have lapsed there.
     virtual void onRegistryReturn() = 0;
@@ -42,8 +43,11 @@
     void setConfig(const RoutingConfig &config);
     /// \brief Takes all backend servers as they were at \a revision.
     void setBackends(const std::vector<BackendEntry> &entries, std::uint64_t revision);
-    /// \brief Takes one change; \a revision is that of the registry after it.
-    void changeBackend(const BackendChange &change, std::uint64_t revision);
+    /// \brief Takes changes, oldest first; \a revision is that of the registry after them.
+    ///
+    /// They are told as one: when a whole index is repartitioned, hundreds of backend servers
+    /// register within a second, and each news has a cost that grows with the fleet.
+    void changeBackends(const std::vector<BackendChange> &changes, std::uint64_t revision);
     void setMembers(const std::vector<FleetMember> &members, std::uint64_t revision);
     void noteRegistryReturn(TimePoint now);
 
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -138,9 +138,15 @@
     {
         told.push_back("listing " + std::to_string(entries.size()));
     }
-    void onBackendChange(const BackendChange &change) override
+    /// One line for changes that are told together.
+    void onBackendChanges(const std::vector<BackendChange> &changes) override
     {
-        told.push_back((change.entry ? "has " : "lost ") + change.id);
+        std::string line;
+        for (const BackendChange &change : changes) {
+            line.append(line.empty() ? "" : ", ");
+            line.append((change.entry ? "has " : "lost ") + change.id);
+        }
+        told.push_back(line);
     }
     void onMembers(const std::vector<FleetMember> &members) override
     {
@@ -203,10 +209,10 @@
     m_atFollower.told.clear();
     copy();
     EXPECT_TRUE(m_atFollower.told.empty());
-    m_watcher.changeBackend({"y", std::nullopt}, 12);
-    m_watcher.changeBackend({"z", makeEntry("z")}, 12);
+    m_watcher.changeBackends({{"y", std::nullopt}}, 12);
+    m_watcher.changeBackends({{"z", makeEntry("z")}}, 13);
     copy();
-    EXPECT_EQ(m_atFollower.told, (Told{"lost y", "has z"}));
+    EXPECT_EQ(m_atFollower.told, Told{"lost y, has z"});
     EXPECT_FALSE(m_watcher.hasNews(m_follower.request(0ms)));
 }
 
@@ -229,7 +235,7 @@
     m_watcher.setBackends({makeEntry("x")}, 10);
     const auto late = m_watcher.answer(m_follower.request(0ms), 0ms, start);
     m_watcher.setConfig(makeConfig(4));
-    m_watcher.changeBackend({"x", std::nullopt}, 12);
+    m_watcher.changeBackends({{"x", std::nullopt}}, 12);
     copy();
     m_atFollower.told.clear();
     m_follower.take(late, start);
@@ -237,6 +243,30 @@
     EXPECT_EQ(m_follower.configVersion(), 4U);
 }
 
+TEST_F(FleetStateTest, hundredsOfServersThatRegisterAtOnceAreOneNews)
+{
+    // When an index is repartitioned, the servers of all new shards start within a second or two.
+    // Each news makes a process order all members anew, which a small host has no time for.
+    m_watcher.setBackends({makeEntry("x")}, 10);
+    copy();
+    int newsAtWatcher = 0;
+    int newsAtFollower = 0;
+    m_watcher.onNews([&] { ++newsAtWatcher; });
+    m_follower.onNews([&] { ++newsAtFollower; });
+    std::vector<BackendChange> changes;
+    for (int i = 0; i < 405; ++i) {
+        const std::string id = "new-" + std::to_string(i);
+        changes.push_back({id, makeEntry(id)});
+    }
+    m_atFollower.told.clear();
+    m_watcher.changeBackends(changes, 11);
+    copy();
+    EXPECT_EQ(newsAtWatcher, 1);
+    EXPECT_EQ(newsAtFollower, 1);
+    EXPECT_EQ(m_atFollower.told.size(), 1U);
+    EXPECT_FALSE(m_watcher.hasNews(m_follower.request(0ms)));
+}
+
 TEST_F(FleetStateTest, whoLagsTooFarBehindGetsAListing)
 {
     m_watcher.setBackends({makeEntry("x")}, 10);
--- a/test/GatewayQueryTest.cpp
+++ b/test/GatewayQueryTest.cpp
@@ -65,7 +65,7 @@
     for (int i = 0; i < 12; ++i)
         ask("/all/1"); // until the server is known to be slow
     ScriptedServer &silent = addServer("a", ScriptedReply{""});
-    m_core.onBackendChange({m_entries.back().id, m_entries.back()});
+    m_core.onBackendChanges({{m_entries.back().id, m_entries.back()}});
     EXPECT_EQ(ask("/all/1").result_int(), 200U);
     EXPECT_EQ(silent.requests().size(), 1U);
 }
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -243,7 +243,7 @@
     start();
     for (int i = 0; i < 5; ++i)
         EXPECT_EQ(ask("/one/1").body(), "b");
-    m_core.onBackendChange({"i-2", std::nullopt});
+    m_core.onBackendChanges({{"i-2", std::nullopt}});
     EXPECT_EQ(ask("/one/1").result_int(), 503U);
     EXPECT_TRUE(first.requests().empty());
     EXPECT_EQ(second.requests().size(), 5U);
--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -13,7 +13,7 @@
 using test::ScriptedServer;
 using test::ServerRequest;
 
-/// Writes down what a feed tells, one word each.
+/// Writes down what a feed tells, one line for each call.
 class Recorder : public KindObserver
 {
 public:
@@ -21,9 +21,14 @@
     {
         m_told.push_back("listing:" + std::to_string(objects.size()));
     }
-    void onChange(const StoreObject &object, bool isRemoved, std::uint64_t) override
+    void onChanges(const std::vector<StoreChange> &changes, std::uint64_t) override
     {
-        m_told.push_back((isRemoved ? "removed:" : "changed:") + object.name);
+        std::string line;
+        for (const StoreChange &change : changes) {
+            line.append(line.empty() ? "" : " ");
+            line.append((change.isRemoved ? "removed:" : "changed:") + change.object.name);
+        }
+        m_told.push_back(line);
     }
     void onReturn() override { m_told.emplace_back("return"); }
     const std::vector<std::string> &told() const { return m_told; }
@@ -86,6 +91,22 @@
     EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=5&"));
 }
 
+TEST_F(KindFeedTest, eventsOfOneReplyAreToldTogether)
+{
+    int watches = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (!isWatch(request))
+            return json(onePage);
+        return ++watches > 1 ? ScriptedReply{}
+                             : json(R"({"events":[{"removed":false,"object":{"meta":{"name":"b"}}},
+                                    {"removed":true,"object":{"meta":{"name":"a"}}}],"asOf":9})");
+    });
+    follow(server);
+    EXPECT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 3; }));
+    EXPECT_EQ(m_recorder.told(), (std::vector<std::string>{"listing:1", "changed:b removed:a"}));
+    EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=9&"));
+}
+
 TEST_F(KindFeedTest, aWatchThatIsCutIsFollowedByAListing)
 {
     // A store that drops its history may let a new watch wait without a word of what it missed.
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -16,7 +16,7 @@
 public:
     void onConfig(const RoutingConfig &) override { }
     void onBackends(const std::vector<BackendEntry> &) override { }
-    void onBackendChange(const BackendChange &) override { }
+    void onBackendChanges(const std::vector<BackendChange> &) override { }
     void onMembers(const std::vector<FleetMember> &) override { }
     void onRegistryReturn() override { }
 };
