--- /dev/null
+++ b/bench/SharingBench.cpp
@@ -0,0 +1,131 @@
+// Processor time for what a process of a large fleet does when an index is repartitioned.
+#include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/SourceTree.h"
+
+#include <benchmark/benchmark.h>
+
+namespace {
+
+constexpr int members = 66;
+constexpr int serversPerShard = 3;
+constexpr int queryRoutes = 20;
+
+std::string shardName(std::int64_t shard)
+{
+    return "shard-" + std::to_string(shard);
+}
+
+/// \brief Keeps nothing of what it is told.
+class SilentObserver : public gwt::StateObserver
+{
+public:
+    void onConfig(const gwt::RoutingConfig &) override { }
+    void onBackends(const std::vector<gwt::BackendEntry> &) override { }
+    void onBackendChanges(const std::vector<gwt::BackendChange> &) override { }
+    void onMembers(const std::vector<gwt::FleetMember> &) override { }
+    void onRegistryReturn() override { }
+};
+
+gwt::RoutingConfig makeConfig(std::int64_t shards)
+{
+    gwt::RoutingConfig config;
+    config.version = 1;
+    std::vector<std::string> names;
+    for (std::int64_t i = 0; i < shards; ++i) {
+        names.push_back(shardName(i));
+        config.services.push_back({names.back(), "/health", 55});
+    }
+    for (int i = 0; i < queryRoutes; ++i) {
+        gwt::Route route;
+        route.name = "route-" + std::to_string(i);
+        route.host = "h";
+        route.pathPrefix = "/" + route.name + "/";
+        route.query = {names, 20, 0.95};
+        config.routes.push_back(std::move(route));
+    }
+    return config;
+}
+
+std::vector<gwt::BackendChange> makeRegistrations(std::int64_t shards)
+{
+    std::vector<gwt::BackendChange> changes;
+    for (std::int64_t i = 0; i < shards * serversPerShard; ++i) {
+        gwt::BackendEntry entry;
+        entry.id = "i-" + std::to_string(i);
+        entry.service = shardName(i / serversPerShard);
+        entry.address = {"10.1.64.9", 8081};
+        entry.slots = 2;
+        changes.push_back({entry.id, entry});
+    }
+    return changes;
+}
+
+/// \brief A process that orders its members anew after each news, as a sharing process does.
+class Sharer
+{
+public:
+    Sharer()
+    {
+        std::vector<gwt::FleetMember> list;
+        for (int i = 0; i < members; ++i)
+            list.push_back({"host-" + std::to_string(i), {"10.1.0.9", 8106}});
+        m_state.setMembers(list, 1);
+        m_state.onNews([this] { m_tree.setMembers(m_state.members()); });
+    }
+    gwt::FleetState &state() { return m_state; }
+
+private:
+    SilentObserver m_observer;
+    gwt::FleetState m_state{m_observer};
+    gwt::SourceTree m_tree{"host-0"};
+};
+
+/// The servers of range(0) new shards register, and the news is taken from another process.
+void BM_Registrations(benchmark::State &state)
+{
+    const auto changes = makeRegistrations(state.range(0));
+    for (auto _ : state) {
+        Sharer source;
+        Sharer follower;
+        source.state().setBackends({}, 1);
+        follower.state().setBackends({}, 1);
+        source.state().changeBackends(changes, 2);
+        const auto request = follower.state().request(gwt::Milliseconds(0));
+        const gwt::TimePoint now;
+        follower.state().take(source.state().answer(request, gwt::Duration::zero(), now), now);
+    }
+}
+BENCHMARK(BM_Registrations)->Arg(20)->Arg(135)->Unit(benchmark::kMicrosecond);
+
+/// Another process is told the configuration of range(0) shards.
+void BM_ConfigAnswer(benchmark::State &state)
+{
+    Sharer source;
+    source.state().setConfig(makeConfig(state.range(0)));
+    const gwt::wire::FleetStateRequest request;
+    const gwt::TimePoint now;
+    for (auto _ : state) {
+        const auto reply = source.state().answer(request, gwt::Duration::zero(), now);
+        benchmark::DoNotOptimize(reply.SerializeAsString());
+    }
+}
+BENCHMARK(BM_ConfigAnswer)->Arg(20)->Arg(135)->Unit(benchmark::kMicrosecond);
+
+/// The same is taken.
+void BM_ConfigTaken(benchmark::State &state)
+{
+    Sharer source;
+    source.state().setConfig(makeConfig(state.range(0)));
+    const gwt::TimePoint now;
+    const std::string bytes
+        = source.state().answer({}, gwt::Duration::zero(), now).SerializeAsString();
+    for (auto _ : state) {
+        Sharer follower;
+        gwt::wire::FleetStateReply reply;
+        reply.ParseFromString(bytes);
+        follower.state().take(reply, now);
+    }
+}
+BENCHMARK(BM_ConfigTaken)->Arg(20)->Arg(135)->Unit(benchmark::kMicrosecond);
+
+} // namespace
