--- a/bench/SharingBench.cpp
+++ b/bench/SharingBench.cpp
@@ -67,6 +67,7 @@
     Sharer()
     {
         std::vector<gwt::FleetMember> list;
+        list.reserve(members);
         for (int i = 0; i < members; ++i)
             list.push_back({"host-" + std::to_string(i), {"10.1.0.9", 8106}});
         m_state.setMembers(list, 1);
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -281,6 +281,8 @@
 if [ $# -eq 0 ]; then
     "$build/bench-bin/DecisionBench"
     "$build/bench-bin/AdmissionBench"
+    "$build/bench-bin/QueryForwardingBench" 2>/dev/null | grep -v event=
+    "$build/bench-bin/SharingBench"
     bash scripts/peak.sh "$build"
 fi
 exit $missed
