Write two loops of the news so that each line does one thing

Cause: read as a newcomer, a loop over a conditional expression and a loop body of two lines without braces stopped the reader.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -6,7 +6,9 @@
 #include "gateway/forwarding/SingleForward.h"
 #include "gateway/policy/PressureAdmission.h"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace gwt {
 
@@ -93,9 +95,9 @@
     const TimePoint now = Clock::now();
     std::vector<BackendChange> effects;
     for (const BackendChange &change : changes) {
-        for (BackendChange &effect :
-             change.entry ? m_registry.update(*change.entry) : m_registry.remove(change.id, now))
-            effects.push_back(std::move(effect));
+        auto applied
+            = change.entry ? m_registry.update(*change.entry) : m_registry.remove(change.id, now);
+        std::move(applied.begin(), applied.end(), std::back_inserter(effects));
     }
     applyBackends(effects);
 }
