Say in the logs when a process stood still

The operator would have looked for slow backend servers or a flood. Change: StallDetector compares when timers were due with when they run, and the clock since the boot with the steady clock, which leaves a suspension out. TimerQueue tells it of each run, so that it costs no wake-up. Above 0.5 s the gateway logs process_stalled with both times, once a stall, and counts it. Not done: beliefs do not age by a suspension.

--- a/src/common/Common.h
+++ b/src/common/Common.h
@@ -18,6 +18,7 @@
 #include "common/Random.h"
 #include "common/Settings.h"
 #include "common/Sleep.h"
+#include "common/StallDetector.h"
 #include "common/Task.h"
 #include "common/Time.h"
 #include "common/TimerQueue.h"
--- /dev/null
+++ b/src/common/StallDetector.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "common/Time.h"
+
+#include <optional>
+
+namespace gwt {
+
+/// \brief How long a process did not run.
+struct Stall
+{
+    Duration late; ///< by which a timer fired after its time
+    Duration suspended; ///< in which the host was suspended; the steady clock does not count it
+};
+
+/// \brief Time since the host booted, suspensions included.
+Duration timeSinceBoot();
+
+/// \brief Notices that this process stood still: it was stopped, or its host was frozen, suspended
+/// or far too slow.
+///
+/// What was answered late or given up around that time has its cause here and not in the backend
+/// servers. Pure decision code.
+class StallDetector
+{
+public:
+    /// \brief Reports nothing up to \a bound.
+    explicit StallDetector(Duration bound);
+
+    /// \brief Takes that timers that were due at \a due run at \a now, \a sinceBoot after the boot.
+    std::optional<Stall> note(TimePoint due, TimePoint now, Duration sinceBoot);
+
+private:
+    const Duration m_bound;
+    TimePoint m_seenAt; ///< last run of timers; what was late by then has been told
+    std::optional<Duration> m_offset; ///< time since the boot less the steady clock, as last seen
+};
+
+} // namespace gwt
--- a/src/common/TimerQueue.cpp
+++ b/src/common/TimerQueue.cpp
@@ -36,7 +36,9 @@
 
 void TimerQueue::runDue()
 {
-    m_armedFor = TimePoint::max();
+    const TimePoint due = std::exchange(m_armedFor, TimePoint::max());
+    if (m_runHandler)
+        m_runHandler(due);
     const TimePoint limit = Clock::now() + s_slack;
     while (!m_pending.empty() && m_pending.begin()->first.due <= limit) {
         auto timer = m_pending.extract(m_pending.begin());
--- a/src/common/TimerQueue.h
+++ b/src/common/TimerQueue.h
@@ -36,6 +36,8 @@
     Id after(Duration delay, Action action) { return at(Clock::now() + delay, std::move(action)); }
     /// \brief Forgets the timer of \a id, if it is still pending, and resets \a id.
     void cancel(Id &id);
+    /// \brief \a handler runs before timers that were due at its argument.
+    void onRun(std::function<void(TimePoint)> handler) { m_runHandler = std::move(handler); }
 
 private:
     /// Timers that are due within this time run together; one wake-up costs more than it.
@@ -46,6 +48,7 @@
 
     boost::asio::steady_timer m_timer;
     std::map<Id, Action> m_pending;
+    std::function<void(TimePoint)> m_runHandler;
     TimePoint m_armedFor = TimePoint::max();
     std::uint64_t m_lastNumber = 0;
 };
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Milliseconds stopPoll{50};
+/// Five times the pause of a core whose share is used up until the next tenth of a second.
+constexpr Milliseconds longestPause{500};
 constexpr std::string_view serviceQuery = "?service=";
 
 } // namespace
@@ -26,6 +28,7 @@
     , m_admin(*this)
     , m_callers(context, CallerContext{timers, core, metrics, core.limits(), core.names()})
     , m_adminServer(context, CallerContext{timers, m_admin, metrics, core.limits(), core.names()})
+    , m_stalls(longestPause)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_stopLimit(m_options.stopLimit)
 { }
@@ -40,6 +43,7 @@
     const Outcome<Endpoint> callers = m_callers.listen(m_listeners.callers);
     if (!isOk(callers))
         return errorOf(callers);
+    watchForStalls();
     waitForSignal();
     logInfo("started",
             {{"host", m_options.hostName},
@@ -49,6 +53,22 @@
     return Done{};
 }
 
+void GatewayProcess::watchForStalls()
+{
+    prometheus::Counter &stalls
+        = m_metrics.counter("gwt_gateway_stalls_total", "Times that this process stood still");
+    m_timers.onRun([this, &stalls](TimePoint due) {
+        const auto stall = m_stalls.note(due, Clock::now(), timeSinceBoot());
+        if (!stall)
+            return;
+        stalls.Increment();
+        const auto late = std::chrono::duration_cast<Milliseconds>(stall->late);
+        const auto suspended = std::chrono::duration_cast<Milliseconds>(stall->suspended);
+        logWarning("process_stalled",
+                   {{"late_ms", late.count()}, {"suspended_ms", suspended.count()}});
+    });
+}
+
 void GatewayProcess::waitForSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &failure, int signal) {
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/StallDetector.h"
 #include "gateway/GatewayCore.h"
 #include "gateway/callers/CallerServer.h"
 
@@ -48,6 +49,7 @@
         GatewayProcess &m_process;
     };
 
+    void watchForStalls();
     void waitForSignal();
     void stop();
     void finishStop();
@@ -61,6 +63,7 @@
     AdminHandler m_admin;
     CallerServer m_callers;
     CallerServer m_adminServer;
+    StallDetector m_stalls;
     boost::asio::signal_set m_signals;
     std::function<void()> m_onReload;
     StatusPage m_status;
--- /dev/null
+++ b/test/StallDetectorTest.cpp
@@ -0,0 +1,63 @@
+#include "common/StallDetector.h"
+#include "common/TimerQueue.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// \brief One run of timers after a punctual one.
+struct RunCase
+{
+    const char *name;
+    Duration late;
+    Duration suspended;
+    bool isStall;
+};
+
+class StallDetectorTest : public testing::TestWithParam<RunCase>
+{ };
+
+TEST_P(StallDetectorTest, aProcessThatStoodStillIsNoticed)
+{
+    const RunCase &run = GetParam();
+    StallDetector detector(500ms);
+    const TimePoint start(1h);
+    constexpr Duration offset = 20min;
+    ASSERT_FALSE(detector.note(start, start, start.time_since_epoch() + offset));
+    const TimePoint due = start + 1s;
+    const TimePoint now = due + run.late;
+    const auto stall = detector.note(due, now, now.time_since_epoch() + offset + run.suspended);
+    ASSERT_EQ(stall.has_value(), run.isStall);
+    if (!stall)
+        return;
+    EXPECT_EQ(stall->late, run.late);
+    EXPECT_EQ(stall->suspended, run.suspended);
+    // The other timers that were due meanwhile are late for the same reason.
+    EXPECT_FALSE(detector.note(due + 1ms, now, now.time_since_epoch() + offset + run.suspended));
+}
+
+INSTANTIATE_TEST_SUITE_P(Runs, StallDetectorTest,
+                         testing::Values(RunCase{"punctual", 0ms, 0ms, false},
+                                         RunCase{"aBusyHost", 400ms, 0ms, false},
+                                         RunCase{"aFrozenProcess", 2089ms, 0ms, true},
+                                         RunCase{"aSuspendedHost", 0ms, 5s, true},
+                                         RunCase{"both", 700ms, 3s, true}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+TEST(StallDetectorTimerTest, aTimerQueueTellsWhenItsTimersWereDue)
+{
+    boost::asio::io_context context;
+    TimerQueue timers(context);
+    std::optional<TimePoint> told;
+    timers.onRun([&](TimePoint due) { told = due; });
+    const TimePoint due = Clock::now() - 3s; // as after a stop of the process
+    timers.at(due, [] {});
+    context.run();
+    EXPECT_EQ(told, due);
+}
+
+} // namespace
+} // namespace gwt
