Keep a reload that comes while a process starts from ending it

The handler was set only after the settings had been read and the core built. Ruled out: a crash (the status names the signal), the news of many servers (not reached that early). Change: main() ignores SIGHUP first; the settings are read after that, so that nothing is missed, and SettingsWatch looks at the file besides. Before main() the kernel's default holds for any program, so the soak sends SIGHUP and SIGTERM only to a process that handles them, by /proc/PID/status; all else that it checks stays.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -4,6 +4,8 @@
 #include "platform/PlatformHeaders.h"
 #include "platform/SettingsWatch.h"
 
+#include <csignal>
+
 namespace {
 
 constexpr int exitFailure = 1;
@@ -80,6 +82,9 @@
 
 int main()
 {
+    // Until the handler is set: a reload asked for meanwhile needs nothing, since the settings are
+    // read anew, and the default action would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     gwt::initializeLog("gwt-gateway", "info");
     const std::string path = gwt::platform::platformSettingsPath();
     const auto settings = gwt::platform::readPlatformSettings(path);
--- a/test/soak/SoakGateway.h
+++ b/test/soak/SoakGateway.h
@@ -29,6 +29,8 @@
     void signal(int number) const;
     /// \brief Changes the settings and tells the process.
     void reload();
+    /// \brief Asks the process to stop.
+    void stop();
     bool isRunning() const { return m_pid > 0; }
     /// \brief Number of starts so far; tells incarnations apart.
     int starts() const { return m_starts; }
@@ -36,6 +38,9 @@
     std::optional<int> reap();
 
 private:
+    /// \brief Signals unless the process still has the default action for \a number, as before its
+    /// main() runs: then the kernel ends it, whatever the program does.
+    void signalIfHandled(int number) const;
     std::string settingsPath() const { return m_folder + "/" + m_name + ".toml"; }
     void writeSettings() const;
 
