--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -48,9 +48,9 @@
     listeners.readinessPath = gwt::platform::readinessPath;
     gwt::GatewayProcess process(context, timers, core, options, listeners, metrics);
     gwt::FleetState state(core);
-    const gwt::SharingOptions sharingOptions{{settings.hostName, settings.peer}, settings.seeds};
-    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, sharingOptions.self,
-                                     state);
+    const gwt::FleetMember self{settings.hostName, settings.peer, settings.availabilityZone};
+    const gwt::SharingOptions sharingOptions{self, settings.seeds};
+    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state);
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
     gwt::platform::SettingsWatch watch(timers, path, settings,
                                        [&core, &process](const PlatformSettings &changed) {
--- a/bench/SharingBench.cpp
+++ b/bench/SharingBench.cpp
@@ -69,7 +69,7 @@
         std::vector<gwt::FleetMember> list;
         list.reserve(members);
         for (int i = 0; i < members; ++i)
-            list.push_back({"host-" + std::to_string(i), {"10.1.0.9", 8106}});
+            list.push_back({"host-" + std::to_string(i), {"10.1.0.9", 8106}, "north"});
         m_state.setMembers(list, 1);
         m_state.onNews([this] { m_tree.setMembers(m_state.members()); });
     }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -39,6 +39,7 @@
 #include "gateway/routing/Route.h"
 #include "gateway/routing/RouteTable.h"
 #include "gateway/routing/WeightedSplit.h"
+#include "gateway/sharing/ConfigHistory.h"
 #include "gateway/sharing/FleetMember.h"
 #include "gateway/sharing/FleetState.h"
 #include "gateway/sharing/MemberReaper.h"
@@ -46,3 +47,4 @@
 #include "gateway/sharing/SourceTree.h"
 #include "gateway/sharing/StateCodec.h"
 #include "gateway/sharing/StateSharing.h"
+#include "gateway/sharing/VersionedSet.h"
--- a/src/gateway/routing/RouteTable.cpp
+++ b/src/gateway/routing/RouteTable.cpp
@@ -12,8 +12,11 @@
     for (const Route &route : m_config.routes)
         m_byHost[lowerCase(route.host)].push_back(&route);
     for (auto &[host, routes] : m_byHost) {
-        std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) {
-            return a->pathPrefix.size() > b->pathPrefix.size();
+        // By name last: processes may hold the same routes in another order.
+        std::sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) {
+            const std::size_t lengthA = a->pathPrefix.size();
+            const std::size_t lengthB = b->pathPrefix.size();
+            return lengthA != lengthB ? lengthA > lengthB : a->name < b->name;
         });
     }
     for (const ServiceSpec &service : m_config.services)
--- /dev/null
+++ b/src/gateway/sharing/ConfigHistory.cpp
@@ -0,0 +1,119 @@
+#include "gateway/sharing/ConfigHistory.h"
+
+#include "gateway/sharing/StateCodec.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+namespace {
+
+template <typename Message, typename Item>
+VersionedSet::Digests digestsOf(const std::vector<Item> &items)
+{
+    VersionedSet::Digests digests;
+    for (const Item &item : items) {
+        Message message;
+        encode(item, message);
+        digests[item.name] = digestOf(message);
+    }
+    return digests;
+}
+
+/// The changes that a message tells: \a changed items and names of \a removed ones.
+template <typename Messages, typename Names>
+VersionedSet::Changes changesOf(const Messages &changed, const Names &removed)
+{
+    VersionedSet::Changes changes;
+    for (const std::string &name : removed)
+        changes[name] = std::nullopt;
+    for (const auto &message : changed)
+        changes[message.name()] = digestOf(message);
+    return changes;
+}
+
+/// Items of \a changes leave \a items; those that \a changed holds take their place.
+template <typename Item, typename Messages>
+void change(std::vector<Item> &items, const VersionedSet::Changes &changes, const Messages &changed)
+{
+    std::erase_if(items, [&](const Item &item) { return changes.contains(item.name); });
+    for (const auto &message : changed)
+        items.push_back(decode(message));
+}
+
+} // namespace
+
+void ConfigHistory::replace(RoutingConfig config)
+{
+    const auto routes = digestsOf<wire::RouteMessage>(config.routes);
+    const auto services = digestsOf<wire::ServiceMessage>(config.services);
+    m_hasUniqueNames
+        = routes.size() == config.routes.size() && services.size() == config.services.size();
+    m_routes.apply(m_routes.differences(routes), config.version);
+    m_services.apply(m_services.differences(services), config.version);
+    m_current = std::move(config);
+}
+
+std::uint64_t ConfigHistory::digest(std::uint64_t routes, std::uint64_t services) const
+{
+    constexpr std::uint64_t odd = 0x9E3779B97F4A7C15; // keeps routes and services apart
+    return routes * odd + services;
+}
+
+void ConfigHistory::tellAll(wire::RoutingConfigMessage &message) const
+{
+    encode(m_current, message);
+}
+
+void ConfigHistory::tellSince(std::uint64_t version, wire::RoutingConfigMessage &message) const
+{
+    const auto routes = m_routes.changedAfter(version);
+    const auto services = m_services.changedAfter(version);
+    if (!m_hasUniqueNames || !routes || !services) {
+        tellAll(message);
+        return;
+    }
+    message.set_version(m_current.version);
+    message.set_base_version(version);
+    message.set_digest(digest(m_routes.digest(), m_services.digest()));
+    encode(m_current.limits, message);
+    std::set<std::string> removedRoutes = *routes;
+    for (const Route &route : m_current.routes) {
+        if (removedRoutes.erase(route.name) > 0)
+            encode(route, *message.add_routes());
+    }
+    std::set<std::string> removedServices = *services;
+    for (const ServiceSpec &service : m_current.services) {
+        if (removedServices.erase(service.name) > 0)
+            encode(service, *message.add_services());
+    }
+    message.mutable_removed_routes()->Assign(removedRoutes.begin(), removedRoutes.end());
+    message.mutable_removed_services()->Assign(removedServices.begin(), removedServices.end());
+}
+
+Outcome<Done> ConfigHistory::take(const wire::RoutingConfigMessage &message)
+{
+    if (message.base_version() > 0)
+        return takeDifferences(message);
+    replace(decode(message));
+    return Done{};
+}
+
+Outcome<Done> ConfigHistory::takeDifferences(const wire::RoutingConfigMessage &message)
+{
+    const auto routes = changesOf(message.routes(), message.removed_routes());
+    const auto services = changesOf(message.services(), message.removed_services());
+    const std::uint64_t result
+        = digest(m_routes.digestAfter(routes), m_services.digestAfter(services));
+    if (result != message.digest() || !m_hasUniqueNames)
+        return Error{ErrorCode::Malformed, "digest_differs", "configuration"};
+    m_routes.apply(routes, message.version());
+    m_services.apply(services, message.version());
+    change(m_current.routes, routes, message.routes());
+    change(m_current.services, services, message.services());
+    m_current.limits = decodeLimits(message);
+    m_current.version = message.version();
+    return Done{};
+}
+
+} // namespace gwt
--- a/src/gateway/sharing/FleetMember.h
+++ b/src/gateway/sharing/FleetMember.h
@@ -11,6 +11,7 @@
 {
     std::string name;
     Endpoint peer; ///< where other gateway processes reach it
+    std::string availabilityZone; ///< empty if it is not known
 
     bool operator==(const FleetMember &) const = default;
 };
--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -1,16 +1,50 @@
 #include "gateway/sharing/FleetState.h"
 
+#include "common/Log.h"
 #include "gateway/sharing/StateCodec.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 namespace {
 
-/// Changes that are kept for others; who lags further behind gets a listing.
-constexpr std::size_t maxLoggedChanges = 2048;
 /// After this time the registry's return no longer matters to anyone.
 constexpr std::chrono::seconds returnMatters{10};
 
+std::uint64_t digestOfEntry(const BackendEntry &entry)
+{
+    wire::BackendChangeMessage message;
+    encode({entry.id, entry}, message);
+    return digestOf(message);
+}
+
+VersionedSet::Digests digestsOf(const std::vector<FleetMember> &members)
+{
+    VersionedSet::Digests digests;
+    for (const FleetMember &member : members) {
+        wire::MemberMessage message;
+        encode(member, message);
+        digests[member.name] = digestOf(message);
+    }
+    return digests;
+}
+
+VersionedSet::Changes digestsOf(const std::vector<BackendChange> &changes)
+{
+    VersionedSet::Changes digests;
+    for (const BackendChange &change : changes) {
+        digests[change.id]
+            = change.entry ? std::optional(digestOfEntry(*change.entry)) : std::nullopt;
+    }
+    return digests;
+}
+
+void logRefused(const char *part, std::uint64_t held, std::uint64_t told)
+{
+    logWarning("difference_refused", {{"part", part}, {"held", held}, {"told", told}});
+}
+
 } // namespace
 
 FleetState::FleetState(StateObserver &observer)
@@ -25,10 +59,10 @@
 
 void FleetState::setConfig(const RoutingConfig &config)
 {
-    if (config.version <= m_config.version)
+    if (config.version <= configVersion())
         return;
-    m_config = config;
-    m_observer.onConfig(m_config);
+    m_configs.replace(config);
+    m_observer.onConfig(m_configs.current());
     tellNews();
 }
 
@@ -36,25 +70,18 @@
 {
     if (revision < m_backendRevision)
         return;
+    VersionedSet::Digests digests;
     m_entries.clear();
-    for (const BackendEntry &entry : entries)
+    for (const BackendEntry &entry : entries) {
         m_entries[entry.id] = entry;
+        digests[entry.id] = digestOfEntry(entry);
+    }
     m_backendRevision = revision;
-    m_changes.clear();
-    m_changesSince = revision;
+    m_backendSet.apply(m_backendSet.differences(digests), revision);
     m_observer.onBackends(entries);
     tellNews();
 }
 
-void FleetState::log(const BackendChange &change, std::uint64_t revision)
-{
-    m_changes.push_back({revision, change});
-    if (m_changes.size() <= maxLoggedChanges)
-        return;
-    m_changesSince = m_changes.front().revision;
-    m_changes.pop_front();
-}
-
 void FleetState::changeBackends(const std::vector<BackendChange> &changes, std::uint64_t revision)
 {
     m_backendRevision = std::max(m_backendRevision, revision);
@@ -63,18 +90,22 @@
             m_entries[change.id] = *change.entry;
         else
             m_entries.erase(change.id);
-        log(change, m_backendRevision);
     }
+    m_backendSet.apply(digestsOf(changes), m_backendRevision);
     m_observer.onBackendChanges(changes);
     tellNews();
 }
 
 void FleetState::setMembers(const std::vector<FleetMember> &members, std::uint64_t revision)
 {
-    if (revision < m_memberRevision || members == m_members)
+    if (revision < m_memberRevision)
         return;
-    m_members = members;
+    // Even if nothing else changed: a process that stays behind is told the same again at once.
     m_memberRevision = revision;
+    if (members == m_members)
+        return;
+    m_members = members;
+    m_memberSet.apply(m_memberSet.differences(digestsOf(members)), revision);
     m_observer.onMembers(m_members);
     tellNews();
 }
@@ -87,7 +118,7 @@
 
 bool FleetState::hasNews(const wire::FleetStateRequest &request) const
 {
-    return m_config.version > request.config_version()
+    return configVersion() > request.config_version()
         || m_backendRevision > request.backend_revision()
         || m_memberRevision > request.member_revision();
 }
@@ -95,39 +126,64 @@
 wire::FleetStateRequest FleetState::request(Milliseconds wait) const
 {
     wire::FleetStateRequest request;
-    request.set_config_version(m_config.version);
-    request.set_backend_revision(m_backendRevision);
-    request.set_member_revision(m_memberRevision);
+    request.set_config_version(m_whole.config ? 0 : configVersion());
+    request.set_backend_revision(m_whole.backends ? 0 : m_backendRevision);
+    request.set_member_revision(m_whole.members ? 0 : m_memberRevision);
     request.set_wait_ms(wait.count());
+    request.set_takes_differences(true);
     return request;
 }
 
+void FleetState::tellBackends(std::uint64_t revision, wire::FleetStateReply &reply) const
+{
+    const auto changed = m_backendSet.changedAfter(revision);
+    reply.set_is_listing(!changed);
+    reply.set_backend_digest(m_backendSet.digest());
+    if (!changed) {
+        for (const auto &[id, entry] : m_entries)
+            encode({id, entry}, *reply.add_changes());
+        return;
+    }
+    for (const std::string &id : *changed) {
+        const auto entry = m_entries.find(id);
+        const bool isThere = entry != m_entries.end();
+        encode({id, isThere ? std::optional(entry->second) : std::nullopt}, *reply.add_changes());
+    }
+}
+
+void FleetState::tellMembers(const wire::FleetStateRequest &request,
+                             wire::FleetStateReply &reply) const
+{
+    auto changed = request.takes_differences() ? m_memberSet.changedAfter(request.member_revision())
+                                               : std::nullopt;
+    reply.set_member_digest(m_memberSet.digest());
+    if (changed)
+        reply.set_member_base(request.member_revision());
+    for (const FleetMember &member : m_members) {
+        if (!changed || changed->erase(member.name) > 0)
+            encode(member, *reply.add_members());
+    }
+    if (changed)
+        reply.mutable_removed_members()->Assign(changed->begin(), changed->end());
+}
+
 wire::FleetStateReply FleetState::answer(const wire::FleetStateRequest &request,
                                          Duration registryAge, TimePoint now) const
 {
     wire::FleetStateReply reply;
     reply.set_registry_age_ms(std::chrono::duration_cast<Milliseconds>(registryAge).count());
-    if (m_config.version > request.config_version())
-        encode(m_config, *reply.mutable_config());
-    reply.set_backend_revision(m_backendRevision);
-    if (m_backendRevision > request.backend_revision()) {
-        const bool isListing = request.backend_revision() < m_changesSince;
-        reply.set_is_listing(isListing);
-        if (isListing) {
-            for (const auto &[id, entry] : m_entries)
-                encode({id, entry}, *reply.add_changes());
-        } else {
-            for (const LoggedChange &logged : m_changes) {
-                if (logged.revision > request.backend_revision())
-                    encode(logged.change, *reply.add_changes());
-            }
-        }
+    if (configVersion() > request.config_version()) {
+        if (request.takes_differences())
+            m_configs.tellSince(request.config_version(), *reply.mutable_config());
+        else
+            m_configs.tellAll(*reply.mutable_config());
     }
+    reply.set_backend_revision(m_backendRevision);
+    if (m_backendRevision > request.backend_revision())
+        tellBackends(request.backend_revision(), reply);
     reply.set_member_revision(m_memberRevision);
-    if (m_memberRevision > request.member_revision()) {
-        for (const FleetMember &member : m_members)
-            encode(member, *reply.add_members());
-    }
+    if (m_memberRevision > request.member_revision())
+        tellMembers(request, reply);
     if (m_returnedAt && now - *m_returnedAt < returnMatters) {
         reply.set_registry_returned_ms(
             std::chrono::duration_cast<Milliseconds>(now - *m_returnedAt).count());
@@ -144,28 +200,75 @@
             noteRegistryReturn(returnedAt);
     }
     if (reply.has_config())
-        setConfig(decode(reply.config()));
-    if (reply.backend_revision() > m_backendRevision) {
-        if (reply.is_listing()) {
-            std::vector<BackendEntry> entries;
-            for (const auto &message : reply.changes()) {
-                if (auto change = decode(message); change.entry)
-                    entries.push_back(std::move(*change.entry));
-            }
-            setBackends(entries, reply.backend_revision());
-        } else {
-            std::vector<BackendChange> changes;
-            for (const auto &message : reply.changes())
-                changes.push_back(decode(message));
+        takeConfig(reply.config());
+    if (reply.backend_revision() > m_backendRevision)
+        takeBackends(reply);
+    if (reply.member_revision() > m_memberRevision)
+        takeMembers(reply);
+}
+
+void FleetState::takeConfig(const wire::RoutingConfigMessage &message)
+{
+    if (message.version() <= configVersion())
+        return;
+    m_whole.config = !isOk(m_configs.take(message));
+    if (m_whole.config) {
+        logRefused("configuration", configVersion(), message.version());
+        return;
+    }
+    m_observer.onConfig(m_configs.current());
+    tellNews();
+}
+
+void FleetState::takeBackends(const wire::FleetStateReply &reply)
+{
+    std::vector<BackendChange> changes;
+    for (const auto &message : reply.changes())
+        changes.push_back(decode(message));
+    if (!reply.is_listing()) {
+        const bool isChecked = reply.backend_digest() != 0;
+        const std::uint64_t result = m_backendSet.digestAfter(digestsOf(changes));
+        m_whole.backends = isChecked && result != reply.backend_digest();
+        if (m_whole.backends)
+            logRefused("backends", m_backendRevision, reply.backend_revision());
+        else
             changeBackends(changes, reply.backend_revision());
-        }
+        return;
     }
-    if (reply.member_revision() > m_memberRevision) {
-        std::vector<FleetMember> members;
-        for (const auto &message : reply.members())
-            members.push_back(decode(message));
-        setMembers(members, reply.member_revision());
+    m_whole.backends = false;
+    std::vector<BackendEntry> entries;
+    for (BackendChange &change : changes) {
+        if (change.entry)
+            entries.push_back(std::move(*change.entry));
+    }
+    setBackends(entries, reply.backend_revision());
+}
+
+void FleetState::takeMembers(const wire::FleetStateReply &reply)
+{
+    std::map<std::string, FleetMember> members;
+    if (reply.member_base() > 0) {
+        for (const FleetMember &member : m_members)
+            members[member.name] = member;
+    }
+    for (const std::string &name : reply.removed_members())
+        members.erase(name);
+    for (const auto &message : reply.members())
+        members[message.name()] = decode(message);
+    std::vector<FleetMember> list;
+    list.reserve(members.size());
+    for (const auto &[name, member] : members)
+        list.push_back(member);
+    if (reply.member_base() > 0) {
+        const auto changes = m_memberSet.differences(digestsOf(list));
+        m_whole.members = m_memberSet.digestAfter(changes) != reply.member_digest();
+        if (m_whole.members) {
+            logRefused("members", m_memberRevision, reply.member_revision());
+            return;
+        }
     }
+    m_whole.members = false;
+    setMembers(list, reply.member_revision());
 }
 
 } // namespace gwt
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -2,12 +2,9 @@
 
 #include "common/Time.h"
 #include "gateway/backends/BackendRegistry.h"
-#include "gateway/routing/Route.h"
+#include "gateway/sharing/ConfigHistory.h"
 #include "gateway/sharing/FleetMember.h"
 
-#include <gateway.pb.h>
-
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,6 +31,8 @@
 ///
 /// News comes from the registry itself or from another process that follows it; the revisions are
 /// the registry's in both cases, so that neither a late nor a repeated reply can lead back.
+/// Processes tell each other what changed. Differences that do not lead to the digest of the
+/// process that told them are not taken, and everything is asked for instead.
 class FleetState
 {
 public:
@@ -60,31 +59,40 @@
     /// \brief Takes the reply of another process.
     void take(const wire::FleetStateReply &reply, TimePoint now);
 
+    /// \brief All processes, by name.
     const std::vector<FleetMember> &members() const { return m_members; }
-    std::uint64_t configVersion() const { return m_config.version; }
+    std::uint64_t memberRevision() const { return m_memberRevision; }
+    std::uint64_t configVersion() const { return m_configs.current().version; }
     std::uint64_t backendRevision() const { return m_backendRevision; }
     /// \brief \a handler runs after each change of the state.
     void onNews(std::function<void()> handler) { m_newsHandler = std::move(handler); }
 
 private:
-    struct LoggedChange
+    /// \brief What differences cannot be taken of, so that it is asked for whole.
+    struct Whole
     {
-        std::uint64_t revision = 0;
-        BackendChange change;
+        bool config = false;
+        bool backends = false;
+        bool members = false;
     };
 
-    void log(const BackendChange &change, std::uint64_t revision);
+    void tellBackends(std::uint64_t revision, wire::FleetStateReply &reply) const;
+    void tellMembers(const wire::FleetStateRequest &request, wire::FleetStateReply &reply) const;
+    void takeConfig(const wire::RoutingConfigMessage &message);
+    void takeBackends(const wire::FleetStateReply &reply);
+    void takeMembers(const wire::FleetStateReply &reply);
     void tellNews();
 
     StateObserver &m_observer;
     std::function<void()> m_newsHandler;
-    RoutingConfig m_config;
+    ConfigHistory m_configs;
     std::map<std::string, BackendEntry> m_entries;
+    VersionedSet m_backendSet;
     std::uint64_t m_backendRevision = 0;
-    std::deque<LoggedChange> m_changes; ///< oldest first
-    std::uint64_t m_changesSince = 0; ///< the log holds all changes after this revision
     std::vector<FleetMember> m_members;
+    VersionedSet m_memberSet;
     std::uint64_t m_memberRevision = 0;
+    Whole m_whole;
     std::optional<TimePoint> m_returnedAt; ///< of the registry, after its last outage
 };
 
--- a/src/gateway/sharing/SourceTree.cpp
+++ b/src/gateway/sharing/SourceTree.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 namespace gwt {
 
@@ -13,6 +14,11 @@
     return XXH64(member.name.data(), member.name.size(), 0);
 }
 
+bool contains(const std::vector<const FleetMember *> &members, const FleetMember *member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
+
 } // namespace
 
 SourceTree::SourceTree(std::string self)
@@ -21,14 +27,19 @@
 
 void SourceTree::setMembers(const std::vector<FleetMember> &members)
 {
-    m_ordered = members;
-    std::sort(m_ordered.begin(), m_ordered.end(),
-              [](const auto &a, const auto &b) { return positionOf(a) < positionOf(b); });
+    std::vector<std::pair<std::uint64_t, const FleetMember *>> ordered;
+    ordered.reserve(members.size());
+    for (const FleetMember &member : members)
+        ordered.emplace_back(positionOf(member), &member);
+    std::sort(ordered.begin(), ordered.end());
+    m_ordered.clear();
+    for (const auto &[position, member] : ordered)
+        m_ordered.push_back(*member);
 }
 
-std::vector<const FleetMember *> SourceTree::present(TimePoint now) const
+SourceTree::Members SourceTree::present(TimePoint now) const
 {
-    std::vector<const FleetMember *> members;
+    Members members;
     for (const FleetMember &member : m_ordered) {
         const auto excluded = m_exclusions.find(member.name);
         if (excluded == m_exclusions.end() || excluded->second.until <= now)
@@ -37,6 +48,23 @@
     return members;
 }
 
+SourceTree::Members SourceTree::watchers(const Members &present)
+{
+    Members chosen;
+    std::set<std::string_view> zones;
+    const auto chooseWhere = [&](const auto &isWanted) {
+        for (auto member = present.begin(); member != present.end() && chosen.size() < s_watchers;
+             ++member) {
+            if (isWanted(*member))
+                chosen.push_back(*member);
+        }
+    };
+    chooseWhere(
+        [&](const FleetMember *member) { return zones.insert(member->availabilityZone).second; });
+    chooseWhere([&](const FleetMember *member) { return !contains(chosen, member); });
+    return chosen;
+}
+
 bool SourceTree::isWatcher(TimePoint now) const
 {
     return sources(now).empty();
@@ -44,38 +72,55 @@
 
 bool SourceTree::isFirst(TimePoint now) const
 {
-    const std::vector<const FleetMember *> members = present(now);
+    const Members members = present(now);
     return !members.empty() && members.front()->name == m_self;
 }
 
-std::vector<FleetMember> SourceTree::sources(TimePoint now) const
+SourceTree::Place SourceTree::place(TimePoint now) const
 {
-    const std::vector<const FleetMember *> members = present(now);
+    const Members members = present(now);
     const auto self = std::find_if(members.begin(), members.end(), [&](const FleetMember *member) {
         return member->name == m_self;
     });
-    const auto position = static_cast<std::size_t>(self - members.begin());
-    std::size_t before = 0; // first member of the level before
-    std::size_t size = std::min(s_watchers, members.size()); // of the level before
-    if (position < size || size == 0 || self == members.end())
+    const Members watchers = SourceTree::watchers(members);
+    if (self == members.end()
+        || std::find(watchers.begin(), watchers.end(), *self) != watchers.end())
         return {};
-    std::size_t next = size; // first member of the level looked at
-    while (position >= next + size * s_fanOut) {
-        before = next;
-        size *= s_fanOut;
-        next += size;
+    Members zone;
+    for (const FleetMember *member : members) {
+        if (member->availabilityZone == (*self)->availabilityZone)
+            zone.push_back(member);
+    }
+    const auto position
+        = static_cast<std::size_t>(std::find(zone.begin(), zone.end(), *self) - zone.begin());
+    const bool isHeadAsking
+        = std::any_of(zone.begin(), zone.begin() + std::min(s_heads, zone.size()),
+                      [&](const FleetMember *head) { return !contains(watchers, head); });
+    Place place;
+    place.hops = isHeadAsking ? 1 : 0;
+    const Members *level = &watchers; // the one that this process asks
+    std::size_t first = 0; // of that level
+    std::size_t size = watchers.size();
+    std::size_t next = s_heads; // first member of the zone that is below the level of `position`
+    std::size_t width = s_heads; // of that level
+    while (position >= next) {
+        first = next - width;
+        size = width;
+        level = &zone;
+        width *= s_fanOut;
+        next += width;
+        ++place.hops;
     }
-    std::vector<FleetMember> sources;
-    for (std::size_t i = 0; i < std::min(s_watchers, size); ++i)
-        sources.push_back(*members[before + (position + i) % size]);
-    return sources;
+    for (std::size_t i = 0; i < std::min(s_sources, size); ++i)
+        place.sources.push_back(*(*level)[first + (position + i) % size]);
+    return place;
 }
 
 std::vector<FleetMember> SourceTree::others(TimePoint now) const
 {
     std::vector<FleetMember> others;
     for (const FleetMember *member : present(now)) {
-        if (member->name != m_self && others.size() < s_watchers)
+        if (member->name != m_self && others.size() < s_sources)
             others.push_back(*member);
     }
     return others;
--- a/src/gateway/sharing/StateCodec.cpp
+++ b/src/gateway/sharing/StateCodec.cpp
@@ -1,10 +1,10 @@
 #include "gateway/sharing/StateCodec.h"
 
-namespace gwt {
+#include <xxhash.h>
 
-namespace {
+namespace gwt {
 
-void encodeRoute(const Route &route, wire::RouteMessage &message)
+void encode(const Route &route, wire::RouteMessage &message)
 {
     message.set_name(route.name);
     message.set_host(route.host);
@@ -25,7 +25,7 @@
     message.set_min_share(route.query.minShare);
 }
 
-Route decodeRoute(const wire::RouteMessage &message)
+Route decode(const wire::RouteMessage &message)
 {
     Route route;
     route.name = message.name();
@@ -44,23 +44,44 @@
     return route;
 }
 
-} // namespace
+void encode(const ServiceSpec &service, wire::ServiceMessage &message)
+{
+    message.set_name(service.name);
+    message.set_health_path(service.healthPath);
+    message.set_max_connections(service.maxConnections);
+}
+
+ServiceSpec decode(const wire::ServiceMessage &message)
+{
+    return {message.name(), message.health_path(), message.max_connections()};
+}
+
+void encode(const RequestLimits &limits, wire::RoutingConfigMessage &message)
+{
+    message.set_max_header_bytes(limits.maxHeaderBytes);
+    message.set_max_body_bytes(limits.maxBodyBytes);
+    message.set_header_timeout_ms(limits.headerTimeout.count());
+    message.set_idle_timeout_ms(limits.idleTimeout.count());
+}
+
+RequestLimits decodeLimits(const wire::RoutingConfigMessage &message)
+{
+    RequestLimits limits;
+    limits.maxHeaderBytes = message.max_header_bytes();
+    limits.maxBodyBytes = message.max_body_bytes();
+    limits.headerTimeout = Milliseconds(message.header_timeout_ms());
+    limits.idleTimeout = Milliseconds(message.idle_timeout_ms());
+    return limits;
+}
 
 void encode(const RoutingConfig &config, wire::RoutingConfigMessage &message)
 {
     message.set_version(config.version);
     for (const Route &route : config.routes)
-        encodeRoute(route, *message.add_routes());
-    for (const ServiceSpec &service : config.services) {
-        wire::ServiceMessage &part = *message.add_services();
-        part.set_name(service.name);
-        part.set_health_path(service.healthPath);
-        part.set_max_connections(service.maxConnections);
-    }
-    message.set_max_header_bytes(config.limits.maxHeaderBytes);
-    message.set_max_body_bytes(config.limits.maxBodyBytes);
-    message.set_header_timeout_ms(config.limits.headerTimeout.count());
-    message.set_idle_timeout_ms(config.limits.idleTimeout.count());
+        encode(route, *message.add_routes());
+    for (const ServiceSpec &service : config.services)
+        encode(service, *message.add_services());
+    encode(config.limits, message);
 }
 
 RoutingConfig decode(const wire::RoutingConfigMessage &message)
@@ -68,15 +89,10 @@
     RoutingConfig config;
     config.version = message.version();
     for (const auto &route : message.routes())
-        config.routes.push_back(decodeRoute(route));
-    for (const auto &service : message.services()) {
-        config.services.push_back(
-            {service.name(), service.health_path(), service.max_connections()});
-    }
-    config.limits.maxHeaderBytes = message.max_header_bytes();
-    config.limits.maxBodyBytes = message.max_body_bytes();
-    config.limits.headerTimeout = Milliseconds(message.header_timeout_ms());
-    config.limits.idleTimeout = Milliseconds(message.idle_timeout_ms());
+        config.routes.push_back(decode(route));
+    for (const auto &service : message.services())
+        config.services.push_back(decode(service));
+    config.limits = decodeLimits(message);
     return config;
 }
 
@@ -119,11 +135,19 @@
     message.set_name(member.name);
     message.set_address(member.peer.address);
     message.set_port(member.peer.port);
+    message.set_availability_zone(member.availabilityZone);
 }
 
 FleetMember decode(const wire::MemberMessage &message)
 {
-    return {message.name(), {message.address(), static_cast<std::uint16_t>(message.port())}};
+    const Endpoint peer{message.address(), static_cast<std::uint16_t>(message.port())};
+    return {message.name(), peer, message.availability_zone()};
+}
+
+std::uint64_t digestOf(const google::protobuf::MessageLite &message)
+{
+    const std::string bytes = message.SerializeAsString();
+    return XXH64(bytes.data(), bytes.size(), 0);
 }
 
 } // namespace gwt
--- a/src/gateway/sharing/StateCodec.h
+++ b/src/gateway/sharing/StateCodec.h
@@ -10,10 +10,19 @@
 
 /// \brief Conversions between the project's types and the messages between gateways.
 void encode(const RoutingConfig &config, wire::RoutingConfigMessage &message);
+void encode(const RequestLimits &limits, wire::RoutingConfigMessage &message);
+void encode(const Route &route, wire::RouteMessage &message);
+void encode(const ServiceSpec &service, wire::ServiceMessage &message);
 void encode(const BackendChange &change, wire::BackendChangeMessage &message);
 void encode(const FleetMember &member, wire::MemberMessage &message);
 RoutingConfig decode(const wire::RoutingConfigMessage &message);
+RequestLimits decodeLimits(const wire::RoutingConfigMessage &message);
+Route decode(const wire::RouteMessage &message);
+ServiceSpec decode(const wire::ServiceMessage &message);
 BackendChange decode(const wire::BackendChangeMessage &message);
 FleetMember decode(const wire::MemberMessage &message);
 
+/// \brief Tells messages of different content apart; the same in all processes.
+std::uint64_t digestOf(const google::protobuf::MessageLite &message);
+
 } // namespace gwt
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -5,6 +5,8 @@
 #include "peer/PeerCodec.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace gwt {
 
@@ -28,6 +30,9 @@
 /// a small fleet asks the registry itself after this age, one of a large fleet after twice as much:
 /// others move up first. Half of the shortest time in which a configuration must be in force.
 constexpr Milliseconds maxRegistryAge{1500};
+/// What each further level between a process and the watchers adds to the ages that it hears: one
+/// poll that ended without news, and the pause after it.
+constexpr Milliseconds levelAge{730};
 /// Up to this many members each asks the registry as it starts: all are asked for news too late if
 /// the whole fleet has just started, and the calls are few.
 constexpr std::size_t smallFleet = 12;
@@ -44,12 +49,14 @@
     , m_executor(context.get_executor())
     , m_state(state)
     , m_feed(feed)
+    , m_metrics(metrics)
     , m_pollsFailed(metrics.counter("gwt_gateway_polls_failed_total",
                                     "Questions to other processes that got no useful answer"))
     , m_tree(m_options.self.name)
     , m_reaper(m_options.self.name)
     , m_client(m_executor, connectTimeout)
     , m_server(m_executor)
+    , m_usualAge(maxRegistryAge)
 { }
 
 Outcome<Endpoint> StateSharing::start()
@@ -72,11 +79,14 @@
 
 void StateSharing::onNews()
 {
+    for (asio::steady_timer &waiter : m_waiters)
+        waiter.cancel();
+    // Ordering all members costs more than most news.
+    if (std::exchange(m_memberRevision, m_state.memberRevision()) == m_state.memberRevision())
+        return;
     const std::vector<FleetMember> &members = m_state.members();
     m_tree.setMembers(members);
     m_reaper.setMembers(members);
-    for (asio::steady_timer &waiter : m_waiters)
-        waiter.cancel();
     const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &member) {
         return member.name == m_options.self.name;
     });
@@ -133,7 +143,7 @@
         return sources;
     for (const Endpoint &seed : m_options.seeds) {
         if (seed != m_options.self.peer)
-            sources.push_back({toString(seed), seed});
+            sources.push_back({toString(seed), seed, ""});
     }
     return sources;
 }
@@ -160,9 +170,10 @@
     for (;;) {
         const TimePoint now = Clock::now();
         const std::vector<FleetMember> known = sources(now);
-        const Duration maxAge
-            = m_state.members().size() > smallFleet ? 2 * maxRegistryAge : maxRegistryAge;
-        const bool isLost = updateRegistryAge(now) > maxAge && !known.empty();
+        m_usualAge = maxRegistryAge + levelAge * std::max(0, m_tree.hops(now) - 1);
+        const Duration spare
+            = m_state.members().size() > smallFleet ? maxRegistryAge : Milliseconds(0);
+        const bool isLost = updateRegistryAge(now) > m_usualAge + spare && !known.empty();
         // Without a source that is current, the registry itself is asked until there is one.
         setWatching(m_tree.isWatcher(now) || isLost);
         if (known.empty()) {
@@ -200,7 +211,7 @@
         co_return false;
     }
     m_tree.noteAnswer(source.name);
-    co_return age <= maxRegistryAge;
+    co_return age <= m_usualAge;
 }
 
 Task<void> StateSharing::waitForNews(Duration limit)
@@ -211,9 +222,30 @@
     m_waiters.erase(waiter);
 }
 
+void StateSharing::countBytes(const wire::FleetStateReply &reply)
+{
+    const std::size_t config = reply.has_config() ? reply.config().ByteSizeLong() : 0;
+    std::size_t backends = 0;
+    for (const auto &change : reply.changes())
+        backends += change.ByteSizeLong();
+    std::size_t members = 0;
+    for (const auto &member : reply.members())
+        members += member.ByteSizeLong();
+    const std::array<std::pair<const char *, std::size_t>, 3> parts{
+        {{"configuration", config}, {"backends", backends}, {"members", members}}};
+    for (const auto &[part, bytes] : parts) {
+        if (bytes == 0)
+            continue;
+        m_metrics
+            .counter("gwt_gateway_told_bytes_total", "Bytes of news told to other processes",
+                     {{"part", part}})
+            .Increment(static_cast<double>(bytes));
+    }
+}
+
 Task<wire::FleetStateReply> StateSharing::serve(wire::FleetStateRequest request, PeerRequest)
 {
-    const bool isOutdated = m_feed.isLost() || updateRegistryAge(Clock::now()) > maxRegistryAge;
+    const bool isOutdated = m_feed.isLost() || updateRegistryAge(Clock::now()) > m_usualAge;
     if (!isOutdated && !m_state.hasNews(request)) {
         const Milliseconds asked(request.wait_ms());
         co_await waitForNews(std::min<Duration>(asked, pollWait));
@@ -221,6 +253,7 @@
     const TimePoint now = Clock::now();
     wire::FleetStateReply reply = m_state.answer(request, updateRegistryAge(now), now);
     reply.set_has_lost_registry(m_isWatching && m_feed.isLost());
+    countBytes(reply);
     co_return reply;
 }
 
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -48,11 +48,13 @@
     std::vector<FleetMember> sources(TimePoint now) const;
     Duration updateRegistryAge(TimePoint now);
     void setWatching(bool isWatching);
+    void countBytes(const wire::FleetStateReply &reply);
 
     const SharingOptions m_options;
     const Executor m_executor;
     FleetState &m_state;
     RegistryFeed &m_feed;
+    Metrics &m_metrics;
     prometheus::Counter &m_pollsFailed;
     SourceTree m_tree;
     MemberReaper m_reaper;
@@ -62,10 +64,12 @@
     bool m_isWatching = false;
     bool m_hasJoined = false;
     std::size_t m_turn = 0;
+    std::uint64_t m_memberRevision = 0; ///< of the members that tree and reaper hold
     TimePoint m_joinedAt; ///< when this process last asked to be registered
     /// When the registry was last heard, by this process or by the one that told it. Ages travel
     /// with the replies, so that processes that only ask each other notice that all are outdated.
     TimePoint m_heardAt;
+    Duration m_usualAge; ///< of what the registry said, up to which this process is current
 };
 
 } // namespace gwt
--- /dev/null
+++ b/src/gateway/sharing/VersionedSet.cpp
@@ -0,0 +1,78 @@
+#include "gateway/sharing/VersionedSet.h"
+
+#include <xxhash.h>
+
+namespace gwt {
+
+namespace {
+
+std::uint64_t mixed(const std::string &name, std::uint64_t digest)
+{
+    return XXH64(name.data(), name.size(), digest);
+}
+
+} // namespace
+
+VersionedSet::Changes VersionedSet::differences(const Digests &wanted) const
+{
+    Changes changes;
+    for (const auto &[name, digest] : wanted) {
+        const auto known = m_digests.find(name);
+        if (known == m_digests.end() || known->second != digest)
+            changes.emplace(name, digest);
+    }
+    for (const auto &[name, digest] : m_digests) {
+        if (!wanted.contains(name))
+            changes.emplace(name, std::nullopt);
+    }
+    return changes;
+}
+
+std::uint64_t VersionedSet::digestAfter(const Changes &changes) const
+{
+    // A sum, so that one change costs the same however many things there are.
+    std::uint64_t sum = m_digest;
+    for (const auto &[name, digest] : changes) {
+        const auto known = m_digests.find(name);
+        if (known != m_digests.end())
+            sum -= mixed(name, known->second);
+        if (digest)
+            sum += mixed(name, *digest);
+    }
+    return sum;
+}
+
+void VersionedSet::apply(const Changes &changes, std::uint64_t revision)
+{
+    m_digest = digestAfter(changes);
+    const bool isFirst = !m_reach;
+    if (isFirst)
+        m_reach = revision;
+    for (const auto &[name, digest] : changes) {
+        if (digest)
+            m_digests[name] = *digest;
+        else
+            m_digests.erase(name);
+        if (!isFirst)
+            m_log.push_back({revision, name});
+    }
+    while (m_log.size() > s_maxLogged) {
+        m_reach = m_log.front().revision;
+        m_log.pop_front();
+    }
+}
+
+std::optional<std::set<std::string>> VersionedSet::changedAfter(std::uint64_t revision) const
+{
+    if (!m_reach || revision < *m_reach)
+        return std::nullopt;
+    std::set<std::string> names;
+    for (auto logged = m_log.rbegin(); logged != m_log.rend(); ++logged) {
+        if (logged->revision <= revision)
+            break;
+        names.insert(logged->name);
+    }
+    return names;
+}
+
+} // namespace gwt
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -1,6 +1,5 @@
 #include "gateway/sharing/FleetState.h"
 #include "gateway/sharing/MemberReaper.h"
-#include "gateway/sharing/SourceTree.h"
 #include "gateway/sharing/StateSharing.h"
 
 #include "LoopbackAddress.h"
@@ -23,60 +22,11 @@
     std::vector<FleetMember> members;
     for (std::size_t i = 0; i < count; ++i) {
         const auto port = static_cast<std::uint16_t>(i + 1);
-        members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}});
+        members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}, "north"});
     }
     return members;
 }
 
-class SourceTreeTest : public testing::TestWithParam<std::size_t>
-{ };
-
-TEST_P(SourceTreeTest, aFewFollowTheRegistryAndEveryOtherReachesThem)
-{
-    const std::vector<FleetMember> members = makeMembers(GetParam());
-    std::map<std::string, std::vector<FleetMember>> sourcesOf;
-    std::size_t watchers = 0;
-    std::map<std::string, std::size_t> askedBy;
-    for (const FleetMember &member : members) {
-        SourceTree tree(member.name);
-        tree.setMembers(members);
-        sourcesOf[member.name] = tree.sources(start);
-        watchers += tree.isWatcher(start) ? 1 : 0;
-        for (const FleetMember &source : sourcesOf[member.name])
-            ++askedBy[source.name];
-    }
-    EXPECT_EQ(watchers, std::min<std::size_t>(SourceTree::s_watchers, members.size()));
-    for (const FleetMember &member : members) {
-        std::string name = member.name;
-        int hops = 0;
-        for (; !sourcesOf[name].empty() && hops < 10; ++hops) {
-            EXPECT_EQ(sourcesOf[name].size(), SourceTree::s_watchers);
-            name = sourcesOf[name].front().name;
-        }
-        EXPECT_LE(hops, 2);
-    }
-    for (const auto &[name, count] : askedBy)
-        EXPECT_LE(count, SourceTree::s_watchers * (SourceTree::s_fanOut + 1)) << name;
-}
-
-INSTANTIATE_TEST_SUITE_P(Fleets, SourceTreeTest, testing::Values(1, 2, 3, 4, 7, 66, 300, 3400));
-
-TEST(SourceTreeExclusionTest, theNextMembersTakeThePlaceOfSilentOnes)
-{
-    const std::vector<FleetMember> members = makeMembers(8);
-    SourceTree tree("host-0");
-    tree.setMembers(members);
-    std::set<std::string> seen;
-    TimePoint now = start;
-    while (!tree.isWatcher(now)) {
-        const FleetMember source = tree.sources(now).front();
-        EXPECT_TRUE(seen.insert(source.name).second) << "a silent member was asked again at once";
-        tree.noteSilent(source.name, now);
-    }
-    EXPECT_LT(seen.size(), members.size());
-    EXPECT_EQ(tree.sources(now + SourceTree::s_longestExclusion).empty(), seen.empty());
-}
-
 struct ReaperCase
 {
     const char *name;
@@ -271,10 +221,14 @@
 {
     m_watcher.setBackends({makeEntry("x")}, 10);
     copy();
-    m_watcher.setBackends({makeEntry("z")}, 20);
+    constexpr int changes = 3000; // more than are kept
+    for (int i = 0; i < changes; ++i) {
+        const std::string id = "new-" + std::to_string(i);
+        m_watcher.changeBackends({{id, makeEntry(id)}}, 11 + static_cast<std::uint64_t>(i));
+    }
     m_atFollower.told.clear();
     copy();
-    EXPECT_EQ(m_atFollower.told, Told{"listing 1"});
+    EXPECT_EQ(m_atFollower.told, Told{"listing 3001"});
 }
 
 TEST_F(FleetStateTest, theRegistrysReturnIsToldOnceHoweverOftenItIsHeard)
@@ -346,7 +300,7 @@
         std::vector<FleetMember> members;
         for (std::size_t i = 0; i < count; ++i) {
             const std::string address = test::ownLoopbackAddress(static_cast<int>(i));
-            members.push_back({"host-" + std::to_string(i), {address, peerPort}});
+            members.push_back({"host-" + std::to_string(i), {address, peerPort}, "north"});
         }
         for (const FleetMember &member : members)
             m_processes.push_back(std::make_unique<Process>(m_context, member, members));
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -26,7 +26,8 @@
 protected:
     PlatformFeedTest()
         : m_store(valueOf(m_platform.listen({"127.0.0.1", 0})))
-        , m_feed(m_context, m_timers, m_metrics, m_store, {"host-a", {"127.0.0.1", 1}}, m_state)
+        , m_feed(m_context, m_timers, m_metrics, m_store, {"host-a", {"127.0.0.1", 1}, "north"},
+                 m_state)
     { }
 
     bool joins()
@@ -72,6 +73,20 @@
     EXPECT_FALSE(isRegistered("host-b"));
 }
 
+TEST_F(PlatformFeedTest, membersAreKnownWithTheirAvailabilityZones)
+{
+    // A process of an older version registers without one.
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
+    m_platform.data().overwrite("gateways", "host-c",
+                                {{"peer", "127.0.0.1:3"}, {"availability_zone", "south"}});
+    ASSERT_TRUE(joins());
+    m_feed.follow();
+    ASSERT_TRUE(membersBecome(3));
+    EXPECT_EQ(m_state.members()[0].availabilityZone, "north");
+    EXPECT_EQ(m_state.members()[1].availabilityZone, "");
+    EXPECT_EQ(m_state.members()[2].availabilityZone, "south");
+}
+
 TEST_F(PlatformFeedTest, aRemovedRegistrationIsSeenAndMadeAgain)
 {
     ASSERT_TRUE(joins());
--- /dev/null
+++ b/test/SourceTreeTest.cpp
@@ -0,0 +1,164 @@
+#include "gateway/sharing/SourceTree.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start{1h};
+
+struct FleetSize
+{
+    std::size_t members;
+    std::size_t zones;
+};
+
+std::vector<FleetMember> makeMembers(FleetSize size)
+{
+    std::vector<FleetMember> members;
+    for (std::size_t i = 0; i < size.members; ++i) {
+        const auto port = static_cast<std::uint16_t>(i + 1);
+        const std::string zone = "zone-" + std::to_string(i % size.zones);
+        members.push_back({"host-" + std::to_string(i), {"127.0.0.1", port}, zone});
+    }
+    return members;
+}
+
+/// \brief Who asks whom in a whole fleet.
+struct Fleet
+{
+    explicit Fleet(FleetSize size)
+        : members(makeMembers(size))
+    {
+        for (const FleetMember &member : members) {
+            SourceTree tree(member.name);
+            tree.setMembers(members);
+            sources[member.name] = tree.sources(start);
+            hops[member.name] = tree.hops(start);
+            zones[member.name] = member.availabilityZone;
+            if (sources[member.name].empty())
+                watchers.insert(member.name);
+        }
+    }
+
+    std::vector<FleetMember> members;
+    std::map<std::string, std::vector<FleetMember>> sources;
+    std::map<std::string, int> hops;
+    std::map<std::string, std::string> zones;
+    std::set<std::string> watchers;
+};
+
+class SourceTreeTest : public testing::TestWithParam<FleetSize>
+{
+protected:
+    /// Shared by the tests of one size: a large fleet takes seconds to work out.
+    static const Fleet &fleetOf(FleetSize size)
+    {
+        static std::map<std::pair<std::size_t, std::size_t>, Fleet> fleets;
+        return fleets.try_emplace({size.members, size.zones}, size).first->second;
+    }
+
+    const Fleet &m_fleet = fleetOf(GetParam());
+};
+
+TEST_P(SourceTreeTest, aFewFollowTheRegistryAndEveryOtherReachesThem)
+{
+    EXPECT_EQ(m_fleet.watchers.size(),
+              std::min<std::size_t>(SourceTree::s_watchers, m_fleet.members.size()));
+    for (const FleetMember &member : m_fleet.members) {
+        EXPECT_LE(m_fleet.hops.at(member.name), 3);
+        for (const FleetMember &source : m_fleet.sources.at(member.name)) {
+            // Never a circle: each source is nearer to the registry.
+            EXPECT_LT(m_fleet.hops.at(source.name), m_fleet.hops.at(member.name));
+        }
+        if (!m_fleet.watchers.contains(member.name)) {
+            EXPECT_EQ(m_fleet.sources.at(member.name).size(), SourceTree::s_sources);
+        }
+    }
+}
+
+TEST_P(SourceTreeTest, noMemberIsAskedByMoreThanAFewOthers)
+{
+    std::map<std::string, std::size_t> askedBy;
+    for (const auto &[name, sources] : m_fleet.sources) {
+        for (const FleetMember &source : sources)
+            ++askedBy[source.name];
+    }
+    // Those of its own zone, and for a watcher the heads of all zones.
+    const std::size_t most = SourceTree::s_sources * (SourceTree::s_fanOut + 1)
+        + SourceTree::s_heads * GetParam().zones;
+    for (const auto &[name, count] : askedBy)
+        EXPECT_LE(count, most) << name;
+}
+
+TEST_P(SourceTreeTest, newsCrossesBetweenZonesAFewTimesOnly)
+{
+    std::set<std::string> watchedZones;
+    for (const std::string &name : m_fleet.watchers)
+        watchedZones.insert(m_fleet.zones.at(name));
+    EXPECT_EQ(watchedZones.size(), std::min(m_fleet.watchers.size(), GetParam().zones));
+    std::size_t asksElsewhere = 0;
+    for (const auto &[name, sources] : m_fleet.sources) {
+        asksElsewhere += std::any_of(sources.begin(), sources.end(), [&](const auto &source) {
+            return m_fleet.zones.at(source.name) != m_fleet.zones.at(name);
+        });
+    }
+    EXPECT_LE(asksElsewhere, SourceTree::s_heads * GetParam().zones);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, SourceTreeTest,
+                         testing::Values(FleetSize{1, 1}, FleetSize{2, 1}, FleetSize{3, 3},
+                                         FleetSize{4, 1}, FleetSize{6, 3}, FleetSize{7, 3},
+                                         FleetSize{65, 4}, FleetSize{66, 3}, FleetSize{300, 3},
+                                         FleetSize{1000, 1}, FleetSize{3400, 6}),
+                         [](const auto &info) {
+                             return std::to_string(info.param.members) + "In"
+                                 + std::to_string(info.param.zones);
+                         });
+
+TEST(SourceTreeExclusionTest, theNextMembersTakeThePlaceOfSilentOnes)
+{
+    const std::vector<FleetMember> members = makeMembers({8, 1});
+    SourceTree tree("host-0");
+    tree.setMembers(members);
+    std::set<std::string> seen;
+    TimePoint now = start;
+    while (!tree.isWatcher(now)) {
+        const FleetMember source = tree.sources(now).front();
+        EXPECT_TRUE(seen.insert(source.name).second) << "a silent member was asked again at once";
+        tree.noteSilent(source.name, now);
+    }
+    EXPECT_LT(seen.size(), members.size());
+    EXPECT_EQ(tree.sources(now + SourceTree::s_longestExclusion).empty(), seen.empty());
+}
+
+TEST(SourceTreeExclusionTest, aZoneWhoseHeadsAreSilentAsksTheNextOfItsOwn)
+{
+    const Fleet fleet({66, 3});
+    std::string asker;
+    for (const auto &[name, hops] : fleet.hops) {
+        if (hops == 2)
+            asker = name;
+    }
+    ASSERT_FALSE(asker.empty());
+    SourceTree tree(asker);
+    tree.setMembers(fleet.members);
+    std::set<std::string> silent;
+    for (const FleetMember &head : tree.sources(start)) {
+        tree.noteSilent(head.name, start);
+        silent.insert(head.name);
+    }
+    for (const FleetMember &source : tree.sources(start)) {
+        EXPECT_FALSE(silent.contains(source.name));
+        EXPECT_EQ(source.availabilityZone, fleet.zones.at(asker));
+    }
+}
+
+} // namespace
+} // namespace gwt
--- /dev/null
+++ b/test/StateDifferenceTest.cpp
@@ -0,0 +1,299 @@
+#include "gateway/sharing/FleetState.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start{1h};
+
+class SilentObserver : public StateObserver
+{
+public:
+    void onConfig(const RoutingConfig &config) override { taken = config; }
+    void onBackends(const std::vector<BackendEntry> &) override { ++listings; }
+    void onBackendChanges(const std::vector<BackendChange> &) override { }
+    void onMembers(const std::vector<FleetMember> &) override { }
+    void onRegistryReturn() override { }
+
+    RoutingConfig taken;
+    int listings = 0;
+};
+
+Route makeRoute(int number, int version)
+{
+    Route route;
+    route.name = "route-" + std::to_string(number);
+    route.host = "h";
+    route.pathPrefix = "/" + route.name + "/";
+    route.timeout = Milliseconds(1000 + version);
+    for (int shard = 0; shard < 135; ++shard)
+        route.query.shards.push_back("shard-" + std::to_string(shard));
+    return route;
+}
+
+RoutingConfig makeConfig(std::uint64_t version, int routes)
+{
+    RoutingConfig config;
+    config.version = version;
+    for (int i = 0; i < routes; ++i)
+        config.routes.push_back(makeRoute(i, 0));
+    for (int i = 0; i < 225; ++i)
+        config.services.push_back({"shard-" + std::to_string(i), "/health", 55});
+    return config;
+}
+
+std::vector<BackendEntry> makeEntries(int count)
+{
+    std::vector<BackendEntry> entries;
+    for (int i = 0; i < count; ++i) {
+        BackendEntry entry;
+        entry.id = "i-" + std::to_string(i);
+        entry.service = "shard-" + std::to_string(i % 135);
+        entry.address = {"10.1.64.9", 8081};
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+std::vector<FleetMember> makeMembers(int count)
+{
+    std::vector<FleetMember> members;
+    for (int i = 100; i < 100 + count; ++i)
+        members.push_back({"host-" + std::to_string(i), {"10.1.0.9", 8106}, "north"});
+    return members;
+}
+
+/// Order of routes and services does not matter to anyone.
+std::map<std::string, Milliseconds> routesOf(const RoutingConfig &config)
+{
+    std::map<std::string, Milliseconds> routes;
+    for (const Route &route : config.routes)
+        routes[route.name] = route.timeout;
+    return routes;
+}
+
+/// Bytes of the reply by which \a to learns what \a from knows.
+std::size_t copy(const FleetState &from, FleetState &to)
+{
+    const auto reply = from.answer(to.request(0ms), 0ms, start);
+    to.take(reply, start);
+    return reply.ByteSizeLong();
+}
+
+class StateDifferenceTest : public testing::Test
+{
+protected:
+    struct Process
+    {
+        SilentObserver observer;
+        FleetState state{observer};
+    };
+
+    Process m_watcher;
+    Process m_follower;
+};
+
+TEST_F(StateDifferenceTest, oneChangedRouteIsToldAlone)
+{
+    // 55,000 configurations a day to 3,400 processes: whole ones would fill their links.
+    RoutingConfig config = makeConfig(3, 60);
+    m_watcher.state.setConfig(config);
+    const std::size_t whole = copy(m_watcher.state, m_follower.state);
+    config.version = 9;
+    config.routes[7] = makeRoute(7, 9);
+    config.routes.erase(config.routes.begin() + 20);
+    m_watcher.state.setConfig(config);
+    EXPECT_LT(copy(m_watcher.state, m_follower.state), whole / 20);
+    EXPECT_EQ(routesOf(m_follower.observer.taken), routesOf(config));
+    EXPECT_EQ(m_follower.observer.taken.version, 9U);
+}
+
+TEST_F(StateDifferenceTest, oneNewMemberIsToldAlone)
+{
+    m_watcher.state.setMembers(makeMembers(300), 5);
+    const std::size_t whole = copy(m_watcher.state, m_follower.state);
+    m_watcher.state.setMembers(makeMembers(301), 6);
+    EXPECT_LT(copy(m_watcher.state, m_follower.state), whole / 20);
+    EXPECT_EQ(m_follower.state.members(), makeMembers(301));
+}
+
+TEST_F(StateDifferenceTest, aNewListingOfTheRegistryIsToldAsDifferences)
+{
+    // Each outage of the registry ends with a listing at the watchers.
+    m_watcher.state.setBackends(makeEntries(675), 10);
+    const std::size_t whole = copy(m_watcher.state, m_follower.state);
+    m_watcher.state.setBackends(makeEntries(674), 20);
+    EXPECT_LT(copy(m_watcher.state, m_follower.state), whole / 20);
+    EXPECT_EQ(m_follower.observer.listings, 1);
+    EXPECT_EQ(m_follower.state.backendRevision(), 20U);
+}
+
+TEST_F(StateDifferenceTest, whoKnowsTheMembersAlreadyIsNotToldAgainAndAgain)
+{
+    m_watcher.state.setMembers(makeMembers(3), 7);
+    m_follower.state.setMembers(makeMembers(3), 5);
+    copy(m_watcher.state, m_follower.state);
+    EXPECT_FALSE(m_watcher.state.hasNews(m_follower.state.request(0ms)));
+}
+
+TEST_F(StateDifferenceTest, aProcessOfAnOlderVersionIsToldEverything)
+{
+    m_watcher.state.setConfig(makeConfig(3, 5));
+    m_watcher.state.setMembers(makeMembers(3), 5);
+    copy(m_watcher.state, m_follower.state);
+    m_watcher.state.setConfig(makeConfig(4, 5));
+    m_watcher.state.setMembers(makeMembers(4), 6);
+    auto request = m_follower.state.request(0ms);
+    request.set_takes_differences(false);
+    const auto reply = m_watcher.state.answer(request, 0ms, start);
+    EXPECT_EQ(reply.config().base_version(), 0U);
+    EXPECT_EQ(reply.config().routes_size(), 5);
+    EXPECT_EQ(reply.member_base(), 0U);
+    EXPECT_EQ(reply.members_size(), 4);
+}
+
+/// What one process knows of a change that was undone, and another one does not.
+struct UndoneCase
+{
+    const char *name;
+    void (*set)(FleetState &, int variant, std::uint64_t revision);
+    std::string (*held)(const FleetState &, const SilentObserver &);
+};
+
+std::string heldConfig(const FleetState &, const SilentObserver &observer)
+{
+    return std::to_string(observer.taken.routes.size());
+}
+
+std::string heldBackends(const FleetState &state, const SilentObserver &)
+{
+    return std::to_string(state.answer({}, 0ms, start).changes_size());
+}
+
+std::string heldMembers(const FleetState &state, const SilentObserver &)
+{
+    return std::to_string(state.members().size());
+}
+
+class UndoneChangeTest : public testing::TestWithParam<UndoneCase>
+{ };
+
+TEST_P(UndoneChangeTest, whoMissedTheUndoingIsToldEverything)
+{
+    // One watcher skips the revision at which the follower heard from another one.
+    SilentObserver observers[3];
+    FleetState skipping(observers[0]);
+    FleetState other(observers[1]);
+    FleetState follower(observers[2]);
+    GetParam().set(skipping, 5, 10);
+    GetParam().set(other, 5, 10);
+    copy(skipping, follower);
+    GetParam().set(other, 4, 20);
+    copy(other, follower);
+    GetParam().set(skipping, 5, 30);
+    copy(skipping, follower); // the differences do not fit
+    copy(skipping, follower); // everything does
+    const auto held = GetParam().held;
+    EXPECT_EQ(held(follower, observers[2]), held(skipping, observers[0]));
+    EXPECT_FALSE(skipping.hasNews(follower.request(0ms)));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Parts, UndoneChangeTest,
+    testing::Values(UndoneCase{"configuration",
+                               [](FleetState &state, int variant, std::uint64_t revision) {
+                                   state.setConfig(makeConfig(revision, variant));
+                               },
+                               heldConfig},
+                    UndoneCase{"backends",
+                               [](FleetState &state, int variant, std::uint64_t revision) {
+                                   state.setBackends(makeEntries(variant), revision);
+                               },
+                               heldBackends},
+                    UndoneCase{"members",
+                               [](FleetState &state, int variant, std::uint64_t revision) {
+                                   state.setMembers(makeMembers(variant), revision);
+                               },
+                               heldMembers}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+/// Random changes, which a chain of processes hears at random times.
+class DifferenceChainTest : public testing::TestWithParam<unsigned>
+{
+protected:
+    int pick(int count) { return std::uniform_int_distribution(0, count - 1)(m_random); }
+
+    void changeAtRandom(RoutingConfig &config)
+    {
+        const int number = pick(40);
+        const std::string name = makeRoute(number, 0).name;
+        std::erase_if(config.routes, [&](const Route &route) { return route.name == name; });
+        if (pick(3) > 0)
+            config.routes.push_back(makeRoute(number, static_cast<int>(config.version)));
+    }
+
+    std::mt19937 m_random{GetParam()};
+};
+
+TEST_P(DifferenceChainTest, allHoldTheSameInTheEnd)
+{
+    std::vector<std::unique_ptr<SilentObserver>> observers;
+    std::vector<std::unique_ptr<FleetState>> chain;
+    for (int i = 0; i < 6; ++i) {
+        observers.push_back(std::make_unique<SilentObserver>());
+        chain.push_back(std::make_unique<FleetState>(*observers.back()));
+    }
+    RoutingConfig config = makeConfig(1, 20);
+    for (int step = 0; step < 400; ++step) {
+        config.version += 1 + static_cast<std::uint64_t>(pick(5));
+        changeAtRandom(config);
+        if (pick(3) > 0) // two watchers, which do not see every version
+            chain[static_cast<std::size_t>(pick(2))]->setConfig(config);
+        const auto from = static_cast<std::size_t>(pick(6));
+        const auto to = static_cast<std::size_t>(pick(6));
+        copy(*chain[from], *chain[to]);
+    }
+    chain[0]->setConfig(config);
+    for (const auto &process : chain) {
+        copy(*chain[0], *process); // may be differences that do not fit
+        copy(*chain[0], *process);
+    }
+    for (const auto &observer : observers) {
+        EXPECT_EQ(observer->taken.version, config.version);
+        EXPECT_EQ(routesOf(observer->taken), routesOf(config));
+    }
+}
+
+TEST_P(DifferenceChainTest, whatAVersionHoldsIsTheSameEverywhere)
+{
+    SilentObserver observers[3];
+    FleetState states[3]
+        = {FleetState(observers[0]), FleetState(observers[1]), FleetState(observers[2])};
+    std::map<std::uint64_t, std::map<std::string, Milliseconds>> published;
+    RoutingConfig config = makeConfig(1, 20);
+    for (int step = 0; step < 400; ++step) {
+        ++config.version;
+        changeAtRandom(config);
+        published[config.version] = routesOf(config);
+        const int watcher = pick(2);
+        states[watcher].setConfig(config);
+        const int from = pick(3);
+        copy(states[from], states[2]);
+        const RoutingConfig &taken = observers[2].taken;
+        if (taken.version > 0) {
+            ASSERT_EQ(routesOf(taken), published[taken.version]) << "version " << taken.version;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DifferenceChainTest, testing::Range(1U, 9U));
+
+} // namespace
+} // namespace gwt
