Count the time that a host was suspended

After one, a request whose caller had long gone kept its backend servers and its own answer waiting, backend servers were told too long a deadline, an unsafe request took a connection that the server's idle time-out had meanwhile closed, and what was heard of the registry counted as fresh. Weighed: shifting all kept times when a suspension is noticed (each module would need it, and forget it); one clock with the right meaning. Change: Clock is BootClock (CLOCK_BOOTTIME); timers that are set to a time of it are Timer. The system wakes by the other clock, so TimerQueue sleeps a second at most. SuspensionTest lets the boot clock jump by a function of its own in place of the C library's: with the old clock all rows failed; without the bound on sleeps aTimerThatCameDueDuringItRunsSoonAfter failed. StallDetectorTest's rows are the same; it now gives both clocks, and what is late leaves the suspension out.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -283,6 +283,7 @@
     "$build/bench-bin/AdmissionBench"
     "$build/bench-bin/QueryForwardingBench" 2>/dev/null | grep -v event=
     "$build/bench-bin/SharingBench"
+    "$build/bench-bin/SharingScaleBench"
     bash scripts/peak.sh "$build"
 fi
 exit $missed
--- a/src/common/Common.h
+++ b/src/common/Common.h
@@ -4,6 +4,7 @@
 /// \brief Module common: outcomes, time, settings, logging, metrics and the worker pool.
 
 #include "common/Assert.h"
+#include "common/BootClock.h"
 #include "common/CancelToken.h"
 #include "common/Endpoint.h"
 #include "common/Error.h"
@@ -21,6 +22,7 @@
 #include "common/StallDetector.h"
 #include "common/Task.h"
 #include "common/Time.h"
+#include "common/Timer.h"
 #include "common/TimerQueue.h"
 #include "common/TomlDocument.h"
 #include "common/WorkerPool.h"
--- a/src/common/OneShot.h
+++ b/src/common/OneShot.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "common/Task.h"
-#include "common/Time.h"
+#include "common/Timer.h"
 
 #include <boost/asio/associated_executor.hpp>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -63,7 +62,7 @@
     /// \brief Waits for the value; at \a deadline sets it to \a fallback.
     Task<T> waitUntil(TimePoint deadline, T fallback) const
     {
-        asio::steady_timer timer(co_await asio::this_coro::executor, deadline);
+        Timer timer(co_await asio::this_coro::executor, deadline);
         timer.async_wait(
             [waiter = Waiter(m_state), late = std::move(fallback)](auto failure) mutable {
                 if (!failure)
--- a/src/common/StallDetector.h
+++ b/src/common/StallDetector.h
@@ -9,13 +9,10 @@
 /// \brief How long a process did not run.
 struct Stall
 {
-    Duration late; ///< by which a timer fired after its time
-    Duration suspended; ///< in which the host was suspended; the steady clock does not count it
+    Duration late; ///< by which a timer fired after its time, the suspension left out
+    Duration suspended; ///< in which the host was suspended
 };
 
-/// \brief Time since the host booted, suspensions included.
-Duration timeSinceBoot();
-
 /// \brief Notices that this process stood still: it was stopped, or its host was frozen, suspended
 /// or far too slow.
 ///
@@ -27,13 +24,15 @@
     /// \brief Reports nothing up to \a bound.
     explicit StallDetector(Duration bound);
 
-    /// \brief Takes that timers that were due at \a due run at \a now, \a sinceBoot after the boot.
-    std::optional<Stall> note(TimePoint due, TimePoint now, Duration sinceBoot);
+    /// \brief Takes that timers that were due at \a due run at \a now; \a steady is the same time
+    /// by the clock that leaves suspensions out.
+    std::optional<Stall> note(TimePoint due, TimePoint now,
+                              std::chrono::steady_clock::time_point steady);
 
 private:
     const Duration m_bound;
     TimePoint m_seenAt; ///< last run of timers; what was late by then has been told
-    std::optional<Duration> m_offset; ///< time since the boot less the steady clock, as last seen
+    std::optional<Duration> m_offset; ///< time suspended since the boot, as last seen
 };
 
 } // namespace gwt
--- a/src/common/Time.h
+++ b/src/common/Time.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "common/BootClock.h"
+
 #include <algorithm>
 #include <chrono>
 
 namespace gwt {
 
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 using Microseconds = std::chrono::microseconds;
--- a/src/common/TimerQueue.cpp
+++ b/src/common/TimerQueue.cpp
@@ -1,5 +1,7 @@
 #include "common/TimerQueue.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 TimerQueue::TimerQueue(boost::asio::io_context &context)
@@ -26,7 +28,7 @@
 {
     if (m_pending.empty() || m_pending.begin()->first.due >= m_armedFor)
         return;
-    m_armedFor = m_pending.begin()->first.due;
+    m_armedFor = std::min(m_pending.begin()->first.due, Clock::now() + s_longestSleep);
     m_timer.expires_at(m_armedFor);
     m_timer.async_wait([this](const boost::system::error_code &failure) {
         if (!failure)
--- a/src/common/TimerQueue.h
+++ b/src/common/TimerQueue.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "common/Time.h"
+#include "common/Timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -42,11 +41,13 @@
 private:
     /// Timers that are due within this time run together; one wake-up costs more than it.
     static constexpr Duration s_slack = Microseconds(300);
+    /// Timers that came due during a suspension of the host run at most this long after it.
+    static constexpr Duration s_longestSleep = std::chrono::seconds(1);
 
     void arm();
     void runDue();
 
-    boost::asio::steady_timer m_timer;
+    Timer m_timer;
     std::map<Id, Action> m_pending;
     std::function<void(TimePoint)> m_runHandler;
     TimePoint m_armedFor = TimePoint::max();
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -58,7 +58,7 @@
     prometheus::Counter &stalls
         = m_metrics.counter("gwt_gateway_stalls_total", "Times that this process stood still");
     m_timers.onRun([this, &stalls](TimePoint due) {
-        const auto stall = m_stalls.note(due, Clock::now(), timeSinceBoot());
+        const auto stall = m_stalls.note(due, Clock::now(), std::chrono::steady_clock::now());
         if (!stall)
             return;
         stalls.Increment();
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpConnection.h"
 
 #include "common/LowerCase.h"
+#include "common/Timer.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -104,7 +105,7 @@
     const auto address = asio::ip::make_address(remote.address, failure);
     if (failure)
         co_return Error{ErrorCode::InvalidArgument, "bad_endpoint", remote.address};
-    stream.expires_at(deadline);
+    stream.expires_after(timeLeft(deadline, Clock::now()));
     const auto [code]
         = co_await stream.async_connect(asio::ip::tcp::endpoint(address, remote.port), asTuple);
     if (code) {
@@ -128,7 +129,7 @@
     current = number;
     givenUp.reset();
     stream.expires_never();
-    asio::steady_timer timer(strand, deadline);
+    Timer timer(strand, deadline);
     timer.async_wait([weak = weak_from_this(), number](const error_code &stopped) {
         const auto self = weak.lock();
         if (self && !stopped)
--- a/src/load/LoadRunner.cpp
+++ b/src/load/LoadRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Random.h"
 #include "common/Sleep.h"
+#include "common/Timer.h"
 
 #include <boost/json.hpp>
 
@@ -116,7 +117,7 @@
         arrival += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random)));
         if (arrival >= end)
             break;
-        asio::steady_timer timer(co_await asio::this_coro::executor, arrival);
+        Timer timer(co_await asio::this_coro::executor, arrival);
         co_await timer.async_wait(asTuple);
         const std::string key = stream.name + "-" + run + "-" + std::to_string(i);
         ++m_open;
@@ -128,7 +129,7 @@
 Task<void> LoadRunner::runFault(std::size_t number, TimePoint start)
 {
     const TimedFault &fault = m_options.faults[number];
-    asio::steady_timer timer(co_await asio::this_coro::executor, start + fault.at);
+    Timer timer(co_await asio::this_coro::executor, start + fault.at);
     co_await timer.async_wait(asTuple);
     HttpRequest request;
     request.method = "POST";
--- a/test/StallDetectorTest.cpp
+++ b/test/StallDetectorTest.cpp
@@ -24,19 +24,22 @@
 {
     const RunCase &run = GetParam();
     StallDetector detector(500ms);
-    const TimePoint start(1h);
-    constexpr Duration offset = 20min;
-    ASSERT_FALSE(detector.note(start, start, start.time_since_epoch() + offset));
+    constexpr Duration suspendedBefore = 20min;
+    const std::chrono::steady_clock::time_point steadyStart(1h);
+    const TimePoint start(1h + suspendedBefore);
+    ASSERT_FALSE(detector.note(start, start, steadyStart));
+    // The system's timers leave the suspension out: what was due in a second runs after it.
     const TimePoint due = start + 1s;
-    const TimePoint now = due + run.late;
-    const auto stall = detector.note(due, now, now.time_since_epoch() + offset + run.suspended);
+    const TimePoint now = due + run.late + run.suspended;
+    const auto steady = steadyStart + 1s + run.late;
+    const auto stall = detector.note(due, now, steady);
     ASSERT_EQ(stall.has_value(), run.isStall);
     if (!stall)
         return;
     EXPECT_EQ(stall->late, run.late);
     EXPECT_EQ(stall->suspended, run.suspended);
     // The other timers that were due meanwhile are late for the same reason.
-    EXPECT_FALSE(detector.note(due + 1ms, now, now.time_since_epoch() + offset + run.suspended));
+    EXPECT_FALSE(detector.note(due + 1ms, now, steady));
 }
 
 INSTANTIATE_TEST_SUITE_P(Runs, StallDetectorTest,
--- /dev/null
+++ b/test/SuspensionTest.cpp
@@ -0,0 +1,91 @@
+// A suspension of the host, as the clocks show it: the time since the boot jumps ahead and the
+// steady clock goes on as if nothing had been.
+#include "GatewayFixture.h"
+
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <atomic>
+
+namespace {
+
+std::atomic<std::int64_t> suspendedSeconds = 0;
+
+} // namespace
+
+/// Takes the place of the C library's function in this program.
+extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept
+{
+    const long result = ::syscall(SYS_clock_gettime, clock, time);
+    if (result == 0 && clock == CLOCK_BOOTTIME)
+        time->tv_sec += suspendedSeconds;
+    return static_cast<int>(result);
+}
+
+namespace gwt::test {
+namespace {
+
+void suspendFor(std::chrono::seconds time)
+{
+    suspendedSeconds += time.count();
+}
+
+class SuspensionTest : public GatewayTest
+{ };
+
+TEST_F(SuspensionTest, theStandInForTheClockIsInUse)
+{
+    const TimePoint before = Clock::now();
+    const auto steady = std::chrono::steady_clock::now();
+    suspendFor(3600s);
+    EXPECT_GE(Clock::now() - before, 3600s);
+    EXPECT_LT(std::chrono::steady_clock::now() - steady, 3600s);
+}
+
+TEST_F(SuspensionTest, aTimerThatCameDueDuringItRunsSoonAfter)
+{
+    // On its own: no earlier timer wakes the loop.
+    boost::asio::io_context context;
+    TimerQueue timers(context);
+    bool hasRun = false;
+    timers.after(10min, [&] { hasRun = true; });
+    EXPECT_FALSE(runUntil(
+        context, [&] { return hasRun; }, 10ms));
+    suspendFor(11min);
+    EXPECT_TRUE(runUntil(context, [&] { return hasRun; }));
+}
+
+TEST_F(SuspensionTest, aRequestThatIsOverdueAfterItIsAnsweredAtOnce)
+{
+    ScriptedServer &silent = addServer("s", ScriptedReply{});
+    addSingleRoute(true);
+    m_config.routes.front().timeout = 10min;
+    start();
+    const auto caller = connect();
+    std::optional<Outcome<WireResponse>> result;
+    caller->exchange(request("/one/x"), false, nullptr,
+                     [&](Outcome<WireResponse> outcome) { result = std::move(outcome); });
+    ASSERT_TRUE(runUntil(m_context, [&] { return !silent.requests().empty(); }));
+    suspendFor(11min);
+    ASSERT_TRUE(runUntil(m_context, [&] { return result.has_value(); }));
+    ASSERT_TRUE(isOk(*result));
+    EXPECT_EQ(valueOf(*result).result_int(), 504U);
+}
+
+TEST_F(SuspensionTest, anUnsafeRequestTakesNoConnectionThatWasIdleDuringIt)
+{
+    // The server's idle time-out may have passed: its close crosses the request, which is lost
+    // then.
+    ScriptedServer &server = addServer("s", ScriptedReply{okBody("done")});
+    addSingleRoute(false);
+    start();
+    ASSERT_EQ(ask("/one/a").result_int(), 200U);
+    ASSERT_EQ(ask("/one/b").result_int(), 200U);
+    ASSERT_EQ(server.accepted(), 1);
+    suspendFor(5s);
+    ASSERT_EQ(ask("/one/c").result_int(), 200U);
+    EXPECT_EQ(server.accepted(), 2);
+}
+
+} // namespace
+} // namespace gwt::test
