Write the new code of sharing and clock as the linter wants it

Cause: clang-tidy on the changed files: the standard library's name is_steady, a loop over a reversed log, a structured binding in a closure, a widening cast. The log is in order of its revisions, so that the first change after one is found by bisection. StateDifferenceTest and SourceTreeTest passed after it.

--- a/bench/capacity/SharingScaleBench.cpp
+++ b/bench/capacity/SharingScaleBench.cpp
@@ -24,7 +24,7 @@
 constexpr int servers = 405;
 constexpr std::uint16_t peerPort = 7203;
 constexpr std::chrono::seconds settleLimit{120};
-constexpr int changes = 10;
+constexpr std::uint64_t changes = 10;
 constexpr std::chrono::seconds changePause{1};
 constexpr std::chrono::seconds changeLimit{20};
 
@@ -232,12 +232,12 @@
     const double changingFrom = processorSeconds();
     const TimePoint since = Clock::now();
     Duration slowest{0};
-    for (int change = 0; change < changes; ++change) {
-        const auto version = static_cast<std::uint64_t>(change + 2);
+    for (std::uint64_t version = 2; version < 2 + changes; ++version) {
         const TimePoint publishedAt = Clock::now();
         fleet.publish(version);
         if (!fleet.runUntilAllHold(version, changeLimit))
-            std::printf("%8d  change %d was not everywhere after 20 s\n", size, change);
+            std::printf("%8d  version %llu was not everywhere after 20 s\n", size,
+                        static_cast<unsigned long long>(version));
         slowest = std::max(slowest, Clock::now() - publishedAt);
         fleet.runFor(changePause);
     }
--- a/src/common/BootClock.h
+++ b/src/common/BootClock.h
@@ -16,6 +16,7 @@
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
 
+    // The name is the standard library's. NOLINTNEXTLINE(readability-identifier-naming)
     static constexpr bool is_steady = true;
 
     static time_point now() noexcept;
--- a/src/gateway/sharing/VersionedSet.cpp
+++ b/src/gateway/sharing/VersionedSet.cpp
@@ -2,6 +2,9 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <iterator>
+
 namespace gwt {
 
 namespace {
@@ -66,12 +69,13 @@
 {
     if (!m_reach || revision < *m_reach)
         return std::nullopt;
+    const auto first
+        = std::partition_point(m_log.begin(), m_log.end(), [revision](const LoggedChange &change) {
+              return change.revision <= revision;
+          });
     std::set<std::string> names;
-    for (auto logged = m_log.rbegin(); logged != m_log.rend(); ++logged) {
-        if (logged->revision <= revision)
-            break;
-        names.insert(logged->name);
-    }
+    std::transform(first, m_log.end(), std::inserter(names, names.end()),
+                   [](const LoggedChange &change) { return change.name; });
     return names;
 }
 
--- a/test/SourceTreeTest.cpp
+++ b/test/SourceTreeTest.cpp
@@ -105,8 +105,9 @@
     EXPECT_EQ(watchedZones.size(), std::min(m_fleet.watchers.size(), GetParam().zones));
     std::size_t asksElsewhere = 0;
     for (const auto &[name, sources] : m_fleet.sources) {
+        const std::string &zone = m_fleet.zones.at(name);
         asksElsewhere += std::any_of(sources.begin(), sources.end(), [&](const auto &source) {
-            return m_fleet.zones.at(source.name) != m_fleet.zones.at(name);
+            return source.availabilityZone != zone;
         });
     }
     EXPECT_LE(asksElsewhere, SourceTree::s_heads * GetParam().zones);
