End the linter's halving at empty lists

Cause: a lint run whose folder was removed under it went on for seven minutes, halving lists that no longer existed, on all cores. A list that cannot be read now ends the check as failed, and one of no lines is not halved.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -80,8 +80,8 @@
 # Those that do not compile together, or have a finding, are checked in two halves, down to one.
 check_list() { # LIST, of lines FILE KEY
     local unit=$1.unit status=0 count
-    count=$(wc -l <"$1")
-    if [ "$count" -eq 1 ]; then
+    count=$(wc -l <"$1") || return 1
+    if [ "$count" -le 1 ]; then # also an empty list, which cannot be halved
         check_one $(cat "$1")
         return
     fi
