Serve queries that are late already one after the other

Logs: about as many queries with 1,497 or some 600 of 2,500 ms left, of callers whose first try had failed, as new ones; all went to the backend servers at once, which serve in order of arrival, so that new queries took 170 ms and more of their 150 ms; then the admission was cut. Ruled out: full connections (no backend_unreachable in these seconds), a missing configuration (13 refusals). Change: CallerPatience learns what callers of a route allow and takes the rest for time that a caller has waited before. A query whose caller has waited for the target already goes to OverdueLane, one at a time in a process; if its turn would come too late it is refused at once. While the admission refuses, callers that come back are treated as all others: most come because they were told to.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -71,6 +71,10 @@
     m_routes = std::make_shared<const RouteTable>(config);
     m_backends.setLimits(*m_routes, m_fleetSize);
     m_admission.retain(*m_routes);
+    const std::set<std::string> names = m_routes->routeNames();
+    m_hedges.retain(names);
+    m_patience.retain(names);
+    m_split.retain(names);
 }
 
 void GatewayCore::onMembers(const std::vector<FleetMember> &members)
@@ -148,7 +152,7 @@
     exchange.respond(makeRefusal(status, reason, retryAfter));
 }
 
-RequestPlan GatewayCore::plan(std::shared_ptr<CallerExchange> exchange, const Route &route) const
+RequestPlan GatewayCore::plan(std::shared_ptr<CallerExchange> exchange, const Route &route)
 {
     RequestPlan plan;
     plan.routes = m_routes;
@@ -156,8 +160,10 @@
     plan.request = std::make_shared<const ForwardRequest>(exchange->request(), m_names);
     Milliseconds limit = route.timeout.count() > 0 ? route.timeout : Milliseconds(30000);
     const auto asked = readMilliseconds(viewOf(exchange->request()[m_names.deadline]));
-    if (asked)
+    if (asked) {
         limit = std::min(limit, std::max(*asked - deadlineMargin, *asked / 2));
+        plan.waitedBefore = m_patience.waitedBefore(route.name, *asked);
+    }
     plan.deadline = exchange->arrivedAt() + limit;
     plan.exchange = std::move(exchange);
     return plan;
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayOptions.h"
 #include "gateway/forwarding/ForwardingContext.h"
+#include "gateway/policy/CallerPatience.h"
 #include "gateway/routing/WeightedSplit.h"
 #include "gateway/sharing/FleetState.h"
 
@@ -45,7 +46,7 @@
     void applyBackends(const std::vector<BackendChange> &changes);
     void scheduleExpiry();
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
-    RequestPlan plan(std::shared_ptr<CallerExchange> exchange, const Route &route) const;
+    RequestPlan plan(std::shared_ptr<CallerExchange> exchange, const Route &route);
     void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
                 std::optional<Milliseconds> retryAfter = std::nullopt);
 
@@ -62,6 +63,7 @@
     BackendFleet m_backends;
     HedgeTimer m_hedges;
     DeliveryTime m_delivery;
+    CallerPatience m_patience;
     AdmissionTable m_admission;
     const FixedSizeMerge m_merge;
     WeightedSplit m_split;
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -34,6 +34,7 @@
     const Route *route = nullptr; ///< of \c routes
     std::shared_ptr<const ForwardRequest> request;
     TimePoint deadline; ///< the earlier of the caller's and the route's
+    Duration waitedBefore{0}; ///< by the caller, before this try; estimated
 };
 
 } // namespace gwt
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -39,33 +39,82 @@
     return progress;
 }
 
-void ShardQueryRun::start()
+std::vector<std::string> ShardQueryRun::reachableShards(TimePoint now) const
 {
-    const ShardQuery &query = m_plan.route->query;
-    const TimePoint now = Clock::now();
     std::vector<std::string> reachable;
-    for (const std::string &shard : query.shards) {
+    for (const std::string &shard : m_plan.route->query.shards) {
         if (m_context.backends.pool(shard).hasServer(now))
             reachable.push_back(shard);
-        else
-            ++m_missing["no_server"];
-    }
-    if (reachable.size() < AnswerPolicy::minShards(query.shards.size(), query.minShare)) {
-        refuse("shards_unreachable", reachable.size());
-        return;
     }
-    const Duration work = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
-    if (!m_context.admission.admit(*m_plan.route, work, now)) {
-        refuse("overloaded", reachable.size());
+    return reachable;
+}
+
+void ShardQueryRun::start()
+{
+    const ShardQuery &query = m_plan.route->query;
+    const TimePoint now = Clock::now();
+    const std::size_t reachable = reachableShards(now).size();
+    if (reachable < AnswerPolicy::minShards(query.shards.size(), query.minShare)) {
+        refuse("shards_unreachable", reachable);
         return;
     }
     const auto self = shared_from_this();
     m_plan.exchange->onCallerGone([self] { self->callerGone(); });
     m_deadlineTimer
         = m_context.timers.at(m_plan.deadline, [self] { self->giveUp(504, "deadline"); });
+    if (isOverdue()) {
+        waitInLane();
+        return;
+    }
+    const Duration work = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
+    if (!m_context.admission.admit(*m_plan.route, work, now)) {
+        refuse("overloaded", reachable);
+        return;
+    }
+    m_isPressureNoted = false;
+    send();
+}
+
+bool ShardQueryRun::isOverdue() const
+{
+    // While queries are refused, most callers that come back do so because they were told to, and
+    // an answer at once is worth much to them.
+    return m_plan.waitedBefore >= m_plan.route->target
+        && !m_context.admission.isBounded(*m_plan.route);
+}
+
+void ShardQueryRun::waitInLane()
+{
+    OverdueLane &lane = m_context.admission.lane(*m_plan.route);
+    m_isInLane = true;
+    m_laneId = lane.newId();
+    const auto start = [self = shared_from_this()] { self->send(); };
+    const Duration work = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
+    if (lane.add(m_laneId, start, m_plan.deadline - Clock::now() - work))
+        return;
+    m_isInLane = false;
+    refuse("overdue_queue_too_long", reachableShards(Clock::now()).size());
+}
+
+void ShardQueryRun::leaveLane()
+{
+    if (std::exchange(m_isInLane, false))
+        m_context.admission.lane(*m_plan.route).noteEnd(m_laneId, Clock::now() - m_startedAt);
+}
+
+void ShardQueryRun::send()
+{
+    const ShardQuery &query = m_plan.route->query;
+    const TimePoint now = Clock::now();
+    m_startedAt = now;
+    const std::vector<std::string> reachable = reachableShards(now);
+    const std::size_t missing = query.shards.size() - reachable.size();
+    if (missing > 0)
+        m_missing["no_server"] = static_cast<int>(missing);
     m_reserved = m_context.delivery.estimate() + m_plan.exchange->transit();
     m_cutoff
         = m_plan.exchange->arrivedAt() + AnswerPolicy::cutoff(m_plan.route->target, m_reserved);
+    const auto self = shared_from_this();
     m_cutoffTimer = m_context.timers.at(m_cutoff, [self] { self->decide(); });
     armHedge(m_context.hedges.delay(m_plan.route->name, m_plan.route->target));
     m_isStarting = true;
@@ -165,12 +214,11 @@
     if (std::exchange(m_isPressureNoted, true))
         return;
     const TimePoint now = Clock::now();
-    const TimePoint arrivedAt = m_plan.exchange->arrivedAt();
     const bool isHalf = 2 * m_parts.size() >= m_plan.route->query.shards.size();
     if (isHalf)
-        m_context.admission.noteHalf(*m_plan.route, arrivedAt, now);
+        m_context.admission.noteHalf(*m_plan.route, m_startedAt, now);
     else
-        m_context.admission.noteStalled(*m_plan.route, arrivedAt, now);
+        m_context.admission.noteStalled(*m_plan.route, m_startedAt, now);
 }
 
 void ShardQueryRun::refuse(const std::string &reason, std::size_t reachable)
@@ -189,6 +237,7 @@
                  {"version", m_plan.routes->config().version}});
     }
     m_isEnded = true;
+    m_context.timers.cancel(m_deadlineTimer);
     const Milliseconds back
         = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
     m_plan.exchange->respond(makeRefusal(503, reason, back));
@@ -229,8 +278,9 @@
     if (m_context.recorder.note(RequestEnd::Abandoned, m_plan.route->rank, elapsed(), now))
         logInfo("caller_gone", endFields("caller_gone", 0));
     if (!std::exchange(m_isPressureNoted, true))
-        m_context.admission.noteAbandoned(*m_plan.route, m_plan.exchange->arrivedAt(), now);
+        m_context.admission.noteAbandoned(*m_plan.route, m_startedAt, now);
     m_isEnded = true;
+    leaveLane();
     m_context.timers.cancel(m_hedgeTimer);
     m_context.timers.cancel(m_cutoffTimer);
     m_context.timers.cancel(m_deadlineTimer);
@@ -260,19 +310,21 @@
                 .append(call->service())
                 .append("@" + call->asked());
     }
-    return {{"id", m_plan.request->id()},
-            {"route", m_plan.route->name},
-            {"reason", reason},
-            {"status", status},
-            {"shards", m_plan.route->query.shards.size()},
-            {"answered", m_parts.size()},
-            {"open", m_open},
-            {"waits_for", open},
-            {"missing", missing},
-            {"sends", sends},
-            {"reserved_ms", std::chrono::duration_cast<Milliseconds>(m_reserved).count()},
-            {"version", m_plan.routes->config().version},
-            {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}};
+    return {
+        {"id", m_plan.request->id()},
+        {"route", m_plan.route->name},
+        {"reason", reason},
+        {"status", status},
+        {"shards", m_plan.route->query.shards.size()},
+        {"answered", m_parts.size()},
+        {"open", m_open},
+        {"waits_for", open},
+        {"missing", missing},
+        {"sends", sends},
+        {"reserved_ms", std::chrono::duration_cast<Milliseconds>(m_reserved).count()},
+        {"version", m_plan.routes->config().version},
+        {"waited_before_ms", std::chrono::duration_cast<Milliseconds>(m_plan.waitedBefore).count()},
+        {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}};
 }
 
 void ShardQueryRun::finish()
@@ -288,6 +340,7 @@
     m_context.timers.cancel(m_deadlineTimer);
     for (const auto &call : std::exchange(m_calls, {}))
         call->detach();
+    leaveLane();
 }
 
 } // namespace gwt
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -22,6 +22,13 @@
         std::string records;
     };
 
+    std::vector<std::string> reachableShards(TimePoint now) const;
+    /// \brief True if the target has passed already, counted from the caller's first try.
+    bool isOverdue() const;
+    /// \brief Waits until other late queries have ended, or refuses at once.
+    void waitInLane();
+    void leaveLane();
+    void send();
     void onShard(ServiceReply reply);
     void decide();
     void armHedge(Duration delay);
@@ -48,7 +55,10 @@
     bool m_isStarting = false;
     bool m_isEnded = false;
     bool m_mayHaveRun = false;
-    bool m_isPressureNoted = false;
+    bool m_isInLane = false; ///< waits there or was started by it
+    OverdueLane::Id m_laneId = 0;
+    bool m_isPressureNoted = true; ///< false from its admission on until it shows the pressure
+    TimePoint m_startedAt;
     Duration m_reserved{0}; ///< of the target, for everything but the backend servers
     TimePoint m_cutoff; ///< when an answer with the minimum coverage is due
     TimerQueue::Id m_hedgeTimer;
--- a/src/gateway/policy/AdmissionTable.cpp
+++ b/src/gateway/policy/AdmissionTable.cpp
@@ -132,6 +132,9 @@
         routeNames.insert(route.name);
     }
     std::erase_if(m_sets, [&](const auto &each) { return !named.contains(each.first); });
+    std::erase_if(m_lanes, [&](const auto &each) {
+        return !named.contains(each.first) && each.second.isEmpty();
+    });
     std::erase_if(m_work, [&](const auto &each) { return !routeNames.contains(each.first); });
 }
 
--- a/src/gateway/policy/AdmissionTable.h
+++ b/src/gateway/policy/AdmissionTable.h
@@ -2,6 +2,7 @@
 
 #include "common/Random.h"
 #include "gateway/policy/AdmissionControl.h"
+#include "gateway/policy/OverdueLane.h"
 #include "gateway/routing/RouteTable.h"
 #include "policy/RetryAdvice.h"
 
@@ -32,6 +33,8 @@
 
     /// \brief True if a query of \a route may start; its legs take \a usual now.
     bool admit(const Route &route, Duration usual, TimePoint now);
+    /// \brief True while queries over the shards of \a route are refused beyond a capacity.
+    bool isBounded(const Route &route) { return control(route).isBounded(); }
     /// \brief Half of the shards of a query of \a route have answered now.
     void noteHalf(const Route &route, TimePoint admittedAt, TimePoint now);
     /// \brief The caller of a query of \a route left before it showed the pressure.
@@ -39,6 +42,9 @@
     /// \brief A query of \a route ended before half of its shards had answered.
     void noteStalled(const Route &route, TimePoint admittedAt, TimePoint now);
 
+    /// \brief Where queries over the shards of \a route wait that are late already.
+    OverdueLane &lane(const Route &route) { return m_lanes[setOf(route)]; }
+
     /// \brief Counts a request of \a route that was refused because of load.
     void noteRefusal(const Route &route, TimePoint now);
     /// \brief Counts a request of \a route that was served.
@@ -66,6 +72,7 @@
 
     const Factory m_makeControl;
     std::map<std::string, ShardSet> m_sets; ///< by first shard
+    std::map<std::string, OverdueLane> m_lanes; ///< likewise
     std::map<std::string, Duration> m_work; ///< time of a leg by route, as of the last calm
     RankShareMeter m_served;
     RetryAdvice m_advice;
--- a/src/gateway/policy/HedgeTimer.cpp
+++ b/src/gateway/policy/HedgeTimer.cpp
@@ -51,4 +51,9 @@
     return known->second.quantile(0.5);
 }
 
+void HedgeTimer::retain(const std::set<std::string> &routeNames)
+{
+    std::erase_if(m_legTimes, [&](const auto &each) { return !routeNames.contains(each.first); });
+}
+
 } // namespace gwt
--- a/src/gateway/policy/HedgeTimer.h
+++ b/src/gateway/policy/HedgeTimer.h
@@ -2,6 +2,7 @@
 
 #include "common/LatencyHistogram.h"
 
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -44,6 +45,8 @@
     Duration delay(const std::string &route, Duration target) const;
     /// \brief Median leg time of \a route, or a tenth of \a target while there are few samples.
     Duration usual(const std::string &route, Duration target) const;
+    /// \brief Forgets what was learned of routes that \a routeNames does not hold.
+    void retain(const std::set<std::string> &routeNames);
 
 private:
     HedgeTimerRules m_rules;
--- a/src/gateway/routing/RouteTable.cpp
+++ b/src/gateway/routing/RouteTable.cpp
@@ -36,6 +36,14 @@
     return nullptr;
 }
 
+std::set<std::string> RouteTable::routeNames() const
+{
+    std::set<std::string> names;
+    for (const Route &route : m_config.routes)
+        names.insert(route.name);
+    return names;
+}
+
 const ServiceSpec *RouteTable::service(const std::string &service) const
 {
     const auto known = m_services.find(service);
--- a/src/gateway/routing/RouteTable.h
+++ b/src/gateway/routing/RouteTable.h
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -23,6 +25,7 @@
     ///
     /// \a host may carry a port; \a path may carry a query.
     const Route *find(std::string_view host, std::string_view path) const;
+    std::set<std::string> routeNames() const;
     /// \brief The specification of \a service; null if the configuration does not name it.
     const ServiceSpec *service(const std::string &service) const;
 
--- a/src/gateway/routing/WeightedSplit.cpp
+++ b/src/gateway/routing/WeightedSplit.cpp
@@ -30,4 +30,9 @@
     return chosen->service;
 }
 
+void WeightedSplit::retain(const std::set<std::string> &routeNames)
+{
+    std::erase_if(m_routes, [&](const auto &each) { return !routeNames.contains(each.first); });
+}
+
 } // namespace gwt
--- a/src/gateway/routing/WeightedSplit.h
+++ b/src/gateway/routing/WeightedSplit.h
@@ -3,6 +3,7 @@
 #include "gateway/routing/Route.h"
 
 #include <map>
+#include <set>
 
 namespace gwt {
 
@@ -14,6 +15,8 @@
 public:
     /// \brief The service of the next request of \a route. \pre the route names one at least
     const std::string &next(const Route &route);
+    /// \brief Forgets what was learned of routes that \a routeNames does not hold.
+    void retain(const std::set<std::string> &routeNames);
 
 private:
     struct Credit
--- a/test/GatewayQueryTest.cpp
+++ b/test/GatewayQueryTest.cpp
@@ -116,6 +116,35 @@
     EXPECT_TRUE(runUntil(m_context, closed, 1s));
 }
 
+TEST_F(GatewayQueryTest, callersThatComeBackLateAreServedOneAfterTheOther)
+{
+    ScriptedServer &server = addServer("a", {okBody("0123456789abcdef"), 30ms});
+    addQueryRoute({"a"}, 1);
+    start();
+    for (int i = 0; i < 8; ++i)
+        ASSERT_EQ(ask("/all/1", "X-Deadline-Ms: 2500\r\n").result_int(), 200U);
+    const std::size_t before = server.requests().size();
+    constexpr std::size_t callers = 4;
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    for (std::size_t i = 0; i < callers; ++i)
+        connections.push_back(connect());
+    std::size_t answered = 0;
+    for (const auto &connection : connections) {
+        connection->exchange(request("/all/1", "X-Deadline-Ms: 1500\r\n"), false, nullptr,
+                             [&](Outcome<WireResponse> outcome) {
+                                 ++answered;
+                                 ASSERT_TRUE(isOk(outcome));
+                                 EXPECT_EQ(valueOf(outcome).result_int(), 200U);
+                                 // The next one, and the one that comes for the first time.
+                                 EXPECT_LE(server.requests().size(), before + answered + 2);
+                             });
+    }
+    // One that comes for the first time does not wait for them.
+    EXPECT_EQ(ask("/all/1", "X-Deadline-Ms: 2500\r\n").result_int(), 200U);
+    EXPECT_LT(answered, callers);
+    EXPECT_TRUE(runUntil(m_context, [&] { return answered == callers; }));
+}
+
 TEST_F(GatewayQueryTest, aFloodIsRefusedAtOnceAndReachesNoServer)
 {
     ScriptedServer &server = addServer("a", {okBody("0123456789abcdef"), 100ms});
--- a/test/GatewayRoutingTest.cpp
+++ b/test/GatewayRoutingTest.cpp
@@ -1,3 +1,5 @@
+#include "gateway/policy/CallerPatience.h"
+#include "gateway/policy/HedgeTimer.h"
 #include "gateway/routing/RouteTable.h"
 #include "gateway/routing/WeightedSplit.h"
 
@@ -95,5 +97,56 @@
         EXPECT_EQ(split.next(route), "b");
 }
 
+/// \brief What a part learns of a route, as something that shows.
+struct LearnedCase
+{
+    const char *name;
+    /// Learns of "route", forgets what \a kept does not name, and tells what is known then.
+    bool (*knows)(const std::set<std::string> &kept);
+};
+
+class LearnedTest : public testing::TestWithParam<LearnedCase>
+{ };
+
+TEST_P(LearnedTest, routesThatAreGoneAreForgotten)
+{
+    EXPECT_TRUE(GetParam().knows({"other", "route"}));
+    EXPECT_FALSE(GetParam().knows({"other"}));
+}
+
+bool hedgeTimerKnows(const std::set<std::string> &kept)
+{
+    HedgeTimer timer;
+    for (int i = 0; i < 200; ++i)
+        timer.note("route", Milliseconds(80));
+    timer.retain(kept);
+    return timer.usual("route", Milliseconds(100)) > Milliseconds(50);
+}
+
+bool callerPatienceKnows(const std::set<std::string> &kept)
+{
+    CallerPatience patience;
+    patience.waitedBefore("route", Milliseconds(2500));
+    patience.retain(kept);
+    return patience.waitedBefore("route", Milliseconds(500)) > Milliseconds(0);
+}
+
+bool weightedSplitKnows(const std::set<std::string> &kept)
+{
+    Route route;
+    route.name = "route";
+    route.services = {{"a", 1}, {"b", 1}};
+    WeightedSplit split;
+    const std::string first = split.next(route);
+    split.retain(kept);
+    return split.next(route) != first;
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, LearnedTest,
+                         testing::Values(LearnedCase{"hedgeTimer", hedgeTimerKnows},
+                                         LearnedCase{"callerPatience", callerPatienceKnows},
+                                         LearnedCase{"weightedSplit", weightedSplitKnows}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace gwt
--- a/test/GatewayStatusTest.cpp
+++ b/test/GatewayStatusTest.cpp
@@ -23,7 +23,7 @@
 protected:
     GatewayStatusTest()
         : m_state(m_core)
-        , m_sharing(m_context, {{"host", {"127.0.0.1", 0}}, {}}, m_state, m_feed, m_metrics)
+        , m_sharing(m_context, {{"host", {"127.0.0.1", 0}, "z"}, {}}, m_state, m_feed, m_metrics)
         , m_status(m_options, m_core, m_state, m_sharing)
     { }
 
