--- a/fuzz/GatewayStateFuzz.cpp
+++ b/fuzz/GatewayStateFuzz.cpp
@@ -1,3 +1,4 @@
+#include "gateway/sharing/ConfigHistory.h"
 #include "gateway/sharing/StateCodec.h"
 
 #include <cstdlib>
@@ -15,6 +16,20 @@
     encode(config, again);
     if (decode(again).routes.size() != config.routes.size())
         std::abort();
+    // Whole or as differences, what is taken can be told to another process.
+    ConfigHistory told;
+    RoutingConfig held;
+    held.version = 1;
+    held.routes.resize(1);
+    told.replace(held);
+    if (isOk(told.take(reply.config()))) {
+        wire::RoutingConfigMessage all;
+        told.tellAll(all);
+        ConfigHistory other;
+        if (!isOk(other.take(all)) || other.current().version != reply.config().version())
+            std::abort();
+        told.tellSince(1, all);
+    }
     for (const auto &change : reply.changes())
         decode(change);
     for (const auto &member : reply.members())
