Start late queries in time to be answered, and let those told to come back go ahead

Seen failing: ...EvenIfAnotherOneTakesLong without the start in time, ...ToldToComeBackAreServedAtOnce without the look at refusals.

--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -77,29 +77,31 @@
 
 bool ShardQueryRun::isOverdue() const
 {
-    // While queries are refused, most callers that come back do so because they were told to, and
-    // an answer at once is worth much to them.
+    // After refusals most callers that come back do so because they were told to, and an answer at
+    // once is worth much to them.
     return m_plan.waitedBefore >= m_plan.route->target
-        && !m_context.admission.isBounded(*m_plan.route);
+        && !m_context.admission.hasRefusedLately(*m_plan.route, Clock::now());
 }
 
 void ShardQueryRun::waitInLane()
 {
+    const auto self = shared_from_this();
+    const TimePoint latest = m_plan.deadline - m_plan.route->target;
+    m_laneTimer = m_context.timers.at(latest, [self] {
+        self->leaveLane();
+        self->send();
+    });
     OverdueLane &lane = m_context.admission.lane(*m_plan.route);
     m_isInLane = true;
     m_laneId = lane.newId();
-    const auto start = [self = shared_from_this()] { self->send(); };
-    const Duration work = m_context.hedges.usual(m_plan.route->name, m_plan.route->target);
-    if (lane.add(m_laneId, start, m_plan.deadline - Clock::now() - work))
-        return;
-    m_isInLane = false;
-    refuse("overdue_queue_too_long", reachableShards(Clock::now()).size());
+    lane.add(m_laneId, [self] { self->send(); });
 }
 
 void ShardQueryRun::leaveLane()
 {
+    m_context.timers.cancel(m_laneTimer);
     if (std::exchange(m_isInLane, false))
-        m_context.admission.lane(*m_plan.route).noteEnd(m_laneId, Clock::now() - m_startedAt);
+        m_context.admission.lane(*m_plan.route).remove(m_laneId);
 }
 
 void ShardQueryRun::send()
@@ -107,6 +109,7 @@
     const ShardQuery &query = m_plan.route->query;
     const TimePoint now = Clock::now();
     m_startedAt = now;
+    m_context.timers.cancel(m_laneTimer);
     const std::vector<std::string> reachable = reachableShards(now);
     const std::size_t missing = query.shards.size() - reachable.size();
     if (missing > 0)
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -25,7 +25,7 @@
     std::vector<std::string> reachableShards(TimePoint now) const;
     /// \brief True if the target has passed already, counted from the caller's first try.
     bool isOverdue() const;
-    /// \brief Waits until other late queries have ended, or refuses at once.
+    /// \brief Sends when other late queries have ended, or when it is time to.
     void waitInLane();
     void leaveLane();
     void send();
@@ -63,6 +63,7 @@
     TimePoint m_cutoff; ///< when an answer with the minimum coverage is due
     TimerQueue::Id m_hedgeTimer;
     TimerQueue::Id m_cutoffTimer;
+    TimerQueue::Id m_laneTimer; ///< when it starts at the latest
     TimerQueue::Id m_deadlineTimer;
 };
 
--- a/src/gateway/policy/AdmissionTable.cpp
+++ b/src/gateway/policy/AdmissionTable.cpp
@@ -97,6 +97,13 @@
 void AdmissionTable::noteRefusal(const Route &route, TimePoint now)
 {
     m_advice.addRefusal(setOf(route), rankOf(route), now);
+    m_refusedAt[setOf(route)] = now;
+}
+
+bool AdmissionTable::hasRefusedLately(const Route &route, TimePoint now) const
+{
+    const auto refusedAt = m_refusedAt.find(setOf(route));
+    return refusedAt != m_refusedAt.end() && now - refusedAt->second < longestReturn;
 }
 
 void AdmissionTable::noteServed(const Route &route, TimePoint now)
@@ -132,6 +139,7 @@
         routeNames.insert(route.name);
     }
     std::erase_if(m_sets, [&](const auto &each) { return !named.contains(each.first); });
+    std::erase_if(m_refusedAt, [&](const auto &each) { return !named.contains(each.first); });
     std::erase_if(m_lanes, [&](const auto &each) {
         return !named.contains(each.first) && each.second.isEmpty();
     });
--- a/src/gateway/policy/AdmissionTable.h
+++ b/src/gateway/policy/AdmissionTable.h
@@ -33,8 +33,8 @@
 
     /// \brief True if a query of \a route may start; its legs take \a usual now.
     bool admit(const Route &route, Duration usual, TimePoint now);
-    /// \brief True while queries over the shards of \a route are refused beyond a capacity.
-    bool isBounded(const Route &route) { return control(route).isBounded(); }
+    /// \brief True while callers that were refused over the shards of \a route may come back.
+    bool hasRefusedLately(const Route &route, TimePoint now) const;
     /// \brief Half of the shards of a query of \a route have answered now.
     void noteHalf(const Route &route, TimePoint admittedAt, TimePoint now);
     /// \brief The caller of a query of \a route left before it showed the pressure.
@@ -73,6 +73,7 @@
     const Factory m_makeControl;
     std::map<std::string, ShardSet> m_sets; ///< by first shard
     std::map<std::string, OverdueLane> m_lanes; ///< likewise
+    std::map<std::string, TimePoint> m_refusedAt; ///< likewise, the last time
     std::map<std::string, Duration> m_work; ///< time of a leg by route, as of the last calm
     RankShareMeter m_served;
     RetryAdvice m_advice;
--- a/src/gateway/policy/OverdueLane.cpp
+++ b/src/gateway/policy/OverdueLane.cpp
@@ -4,15 +4,10 @@
 
 namespace gwt {
 
-bool OverdueLane::add(Id id, Start start, Duration timeLeft)
+void OverdueLane::add(Id id, Start start)
 {
-    const std::size_t ahead = m_waiting.size() + m_inProgress;
-    const auto rounds = static_cast<std::int64_t>(ahead / s_inProgress);
-    if (rounds > 0 && m_usual * rounds > timeLeft)
-        return false;
     m_waiting.push_back({id, std::move(start)});
     startNext();
-    return true;
 }
 
 void OverdueLane::startNext()
@@ -30,7 +25,7 @@
     m_isStarting = false;
 }
 
-void OverdueLane::noteEnd(Id id, Duration elapsed)
+void OverdueLane::remove(Id id)
 {
     const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(),
                                       [id](const Waiting &each) { return each.id == id; });
@@ -39,8 +34,6 @@
         return;
     }
     --m_inProgress;
-    const double weight = m_usual == Duration::zero() ? 1 : s_newSample;
-    m_usual += std::chrono::duration_cast<Duration>((elapsed - m_usual) * weight);
     startNext();
 }
 
--- a/src/gateway/policy/OverdueLane.h
+++ b/src/gateway/policy/OverdueLane.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "common/Time.h"
-
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -13,7 +11,7 @@
 /// Answers the pattern of all hosts that come back after a loss of power: every caller whose first
 /// try failed is there at once, and at the backend servers, which serve in order of arrival, their
 /// queries would make those late that can still make their target. Late answers lose little by
-/// waiting. Pure decision code.
+/// waiting, up to the time at which they must start to be there at all. Pure decision code.
 class OverdueLane
 {
 public:
@@ -22,11 +20,10 @@
 
     /// \brief Names a query that is going to be added.
     Id newId() { return ++m_lastId; }
-    /// \brief Runs \a start at once or when a query of the lane ends. False if that would be later
-    /// than in \a timeLeft; it never runs then.
-    bool add(Id id, Start start, Duration timeLeft);
-    /// \brief The query \a id has ended, \a elapsed after its start if it had been started.
-    void noteEnd(Id id, Duration elapsed);
+    /// \brief Runs \a start at once or when a query of the lane ends.
+    void add(Id id, Start start);
+    /// \brief The query \a id has ended, or waits no longer.
+    void remove(Id id);
     std::size_t waiting() const { return m_waiting.size(); }
     bool isEmpty() const { return m_waiting.empty() && m_inProgress == 0; }
 
@@ -40,13 +37,11 @@
     /// The processes of a small fleet then fill the slots of a shard with them, and no queue; with
     /// two the queries in between were late (docs/POLICY.md).
     static constexpr std::size_t s_inProgress = 1;
-    static constexpr double s_newSample = 0.2; ///< weight of the last query in the mean time
 
     void startNext();
 
     std::list<Waiting> m_waiting; ///< oldest first
     std::size_t m_inProgress = 0;
-    Duration m_usual{0}; ///< moving mean of the time that one takes
     Id m_lastId = 0;
     bool m_isStarting = false;
 };
--- a/test/GatewayQueryTest.cpp
+++ b/test/GatewayQueryTest.cpp
@@ -145,6 +145,52 @@
     EXPECT_TRUE(runUntil(m_context, [&] { return answered == callers; }));
 }
 
+TEST_F(GatewayQueryTest, callersThatWereToldToComeBackAreServedAtOnce)
+{
+    addServer("a", {okBody("0123456789abcdef"), 30ms});
+    addQueryRoute({"a", "b"}, 1);
+    m_config.services.push_back({"b", "/health", 50});
+    start();
+    ASSERT_EQ(ask("/all/1", "X-Deadline-Ms: 2500\r\n").result_int(), 503U);
+    ScriptedServer &server = addServer("b", {okBody("0123456789abcdef"), 30ms});
+    m_core.onBackends(m_entries);
+    constexpr std::size_t callers = 3;
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    for (std::size_t i = 0; i < callers; ++i)
+        connections.push_back(connect());
+    std::size_t answered = 0;
+    for (const auto &connection : connections) {
+        connection->exchange(request("/all/1", "X-Deadline-Ms: 1500\r\n"), false, nullptr,
+                             [&](const Outcome<WireResponse> &) { ++answered; });
+    }
+    ASSERT_TRUE(runUntil(m_context, [&] { return server.requests().size() == callers; }));
+    EXPECT_EQ(answered, 0U);
+    EXPECT_TRUE(runUntil(m_context, [&] { return answered == callers; }));
+}
+
+TEST_F(GatewayQueryTest, aCallerThatComesBackLateIsServedEvenIfAnotherOneTakesLong)
+{
+    ScriptedServer &server = addServer("a", {okBody("0123456789abcdef")});
+    addQueryRoute({"a"}, 1);
+    start();
+    for (int i = 0; i < 8; ++i)
+        ASSERT_EQ(ask("/all/1", "X-Deadline-Ms: 2500\r\n").result_int(), 200U);
+    server.setScript([](const ServerRequest &asked) {
+        return asked.target() == "/all/silent" ? ScriptedReply{}
+                                               : ScriptedReply{okBody("0123456789abcdef")};
+    });
+    const std::size_t before = server.requests().size();
+    const auto silent = connect();
+    bool hasEnded = false;
+    silent->exchange(request("/all/silent", "X-Deadline-Ms: 2000\r\n"), false, nullptr,
+                     [&](const Outcome<WireResponse> &) { hasEnded = true; });
+    ASSERT_TRUE(runUntil(m_context, [&] { return server.requests().size() > before; }));
+    // It has half a second, and the other one two.
+    EXPECT_EQ(ask("/all/1", "X-Deadline-Ms: 500\r\n").result_int(), 200U);
+    EXPECT_FALSE(hasEnded);
+    silent->close();
+}
+
 TEST_F(GatewayQueryTest, aFloodIsRefusedAtOnceAndReachesNoServer)
 {
     ScriptedServer &server = addServer("a", {okBody("0123456789abcdef"), 100ms});
