Look for one's own registration after each news, not only after changes of the members

Cause: read in the diff: since the members are ordered anew only when they change, the look for one's own registration was skipped with it. A removal seen within the pause after a registration was then never looked at again, and the process stayed unregistered until another member changed. aRemovalThatIsSeenTooSoonAfterARegistrationIsNotForgotten failed. The age that a level adds is now worked out from the poll and its pause.

--- a/src/gateway/sharing/SourceTree.cpp
+++ b/src/gateway/sharing/SourceTree.cpp
@@ -83,8 +83,7 @@
         return member->name == m_self;
     });
     const Members watchers = SourceTree::watchers(members);
-    if (self == members.end()
-        || std::find(watchers.begin(), watchers.end(), *self) != watchers.end())
+    if (self == members.end() || contains(watchers, *self))
         return {};
     Members zone;
     for (const FleetMember *member : members) {
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -30,9 +30,6 @@
 /// a small fleet asks the registry itself after this age, one of a large fleet after twice as much:
 /// others move up first. Half of the shortest time in which a configuration must be in force.
 constexpr Milliseconds maxRegistryAge{1500};
-/// What each further level between a process and the watchers adds to the ages that it hears: one
-/// poll that ended without news, and the pause after it.
-constexpr Milliseconds levelAge{730};
 /// Up to this many members each asks the registry as it starts: all are asked for news too late if
 /// the whole fleet has just started, and the calls are few.
 constexpr std::size_t smallFleet = 12;
@@ -40,6 +37,9 @@
 constexpr Milliseconds silencePause{50};
 /// After a change, so that changes in quick succession travel together.
 constexpr Milliseconds gatherPause{30};
+/// What each further level between a process and the watchers adds to the ages that it hears: one
+/// poll that ended without news, and the pause after it.
+constexpr Milliseconds levelAge = pollWait + gatherPause;
 
 } // namespace
 
@@ -81,12 +81,13 @@
 {
     for (asio::steady_timer &waiter : m_waiters)
         waiter.cancel();
-    // Ordering all members costs more than most news.
-    if (std::exchange(m_memberRevision, m_state.memberRevision()) == m_state.memberRevision())
-        return;
     const std::vector<FleetMember> &members = m_state.members();
-    m_tree.setMembers(members);
-    m_reaper.setMembers(members);
+    // Ordering all members costs more than most news.
+    const std::uint64_t revision = m_state.memberRevision();
+    if (std::exchange(m_memberRevision, revision) != revision) {
+        m_tree.setMembers(members);
+        m_reaper.setMembers(members);
+    }
     const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &member) {
         return member.name == m_options.self.name;
     });
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -280,9 +280,9 @@
 struct Process
 {
     Process(boost::asio::io_context &context, const FleetMember &self,
-            const std::vector<FleetMember> &members)
+            const std::vector<FleetMember> &members, Duration joinPause)
         : feed(state, members)
-        , sharing(context, SharingOptions{self, {}, 0s}, state, feed, metrics)
+        , sharing(context, SharingOptions{self, {}, joinPause}, state, feed, metrics)
     { }
 
     Recorder recorder;
@@ -295,7 +295,7 @@
 class StateSharingTest : public testing::Test
 {
 protected:
-    void makeProcesses(std::size_t count)
+    void makeProcesses(std::size_t count, Duration joinPause = 0s)
     {
         std::vector<FleetMember> members;
         for (std::size_t i = 0; i < count; ++i) {
@@ -303,7 +303,7 @@
             members.push_back({"host-" + std::to_string(i), {address, peerPort}, "north"});
         }
         for (const FleetMember &member : members)
-            m_processes.push_back(std::make_unique<Process>(m_context, member, members));
+            m_processes.push_back(std::make_unique<Process>(m_context, member, members, joinPause));
     }
     std::size_t following() const
     {
@@ -386,5 +386,19 @@
     EXPECT_EQ(lost.feed.joinedAgain, 1);
 }
 
+TEST_F(StateSharingTest, aRemovalThatIsSeenTooSoonAfterARegistrationIsNotForgotten)
+{
+    constexpr Duration pause = 50ms;
+    makeProcesses(1, pause);
+    Process &lost = *m_processes[0];
+    ASSERT_TRUE(isOk(lost.sharing.start()));
+    lost.state.setMembers({{"host-9", {"127.0.0.1", 1}, "north"}}, 6);
+    EXPECT_EQ(lost.feed.joinedAgain, 0);
+    test::runUntil(
+        m_context, [] { return false; }, 2 * pause);
+    lost.state.setConfig(makeConfig(9)); // any other news
+    EXPECT_EQ(lost.feed.joinedAgain, 1);
+}
+
 } // namespace
 } // namespace gwt
