Log where a configuration came from and how old the proof of the state is

The logs could not tell a quiet store from a silent one: a process that watches the store reported an age of zero as long as its call was open.

Change: no decision changes.

--- a/bench/capacity/SharingScaleBench.cpp
+++ b/bench/capacity/SharingScaleBench.cpp
@@ -106,6 +106,7 @@
     void stopWatching() override { m_isWatching = false; }
     bool isCurrent() const override { return m_isWatching; }
     bool isLost() const override { return false; }
+    TimePoint provenAt() const override { return isCurrent() ? Clock::now() : TimePoint(); }
 
 private:
     FleetState &m_state;
--- a/src/gateway/sharing/RegistryFeed.h
+++ b/src/gateway/sharing/RegistryFeed.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/Time.h"
+
 #include <functional>
 #include <string>
 
@@ -26,6 +28,9 @@
     virtual bool isCurrent() const = 0;
     /// \brief True while it follows the registry and the registry does not answer.
     virtual bool isLost() const = 0;
+    /// \brief Time as of which all updates of the registry are certainly applied; the epoch of the
+    /// clock if that is unknown.
+    virtual TimePoint provenAt() const = 0;
 };
 
 } // namespace gwt
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -31,6 +31,9 @@
 /// twice this age on, so that others move up first. Half of the shortest time in which a
 /// configuration must be in force.
 constexpr Milliseconds maxRegistryAge{1500};
+/// Registry age from which the state is reported as outdated: the shortest time in which a
+/// configuration must be in force.
+constexpr Milliseconds outdatedAfter{3000};
 /// Up to this many members, each process follows the registry as it starts: if the whole fleet has
 /// just started, its sources become current too late, and the calls are few.
 constexpr std::size_t smallFleetSize = 12;
@@ -42,6 +45,14 @@
 /// that ended without an update, and the pause after it.
 constexpr Milliseconds agePerLevel = pollWait + batchPause;
 
+/// Age of a proof for the log; -1 if there is none.
+Milliseconds provenAge(TimePoint provenAt, TimePoint now)
+{
+    if (provenAt == TimePoint())
+        return Milliseconds(-1);
+    return std::chrono::duration_cast<Milliseconds>(now - provenAt);
+}
+
 } // namespace
 
 StateSharing::StateSharing(asio::io_context &context, SharingOptions options, FleetState &state,
@@ -53,6 +64,8 @@
     , m_metrics(metrics)
     , m_pollsFailed(metrics.counter("gwt_gateway_polls_failed_total",
                                     "Questions to other processes that got no useful answer"))
+    , m_registryAge(metrics.gauge("gwt_gateway_registry_age_seconds",
+                                  "Time since the state was last proved to be complete"))
     , m_tree(m_options.self.name)
     , m_reaper(m_options.self.name)
     , m_client(m_executor, connectTimeout)
@@ -82,6 +95,7 @@
 {
     for (asio::steady_timer &waiter : m_pendingPolls)
         waiter.cancel();
+    logNewConfig(Clock::now());
     const std::vector<FleetMember> &members = m_state.members();
     // Sorting all members costs more than most updates, so it is done only if they changed.
     const std::uint64_t revision = m_state.memberRevision();
@@ -151,13 +165,51 @@
     return sources;
 }
 
-void StateSharing::setWatching(bool isWatching)
+TimePoint StateSharing::provenAt() const
+{
+    return std::max(m_sourceProvenAt, m_feed.provenAt());
+}
+
+void StateSharing::logNewConfig(TimePoint now)
+{
+    const std::uint64_t version = m_state.configVersion();
+    if (version == m_loggedVersion)
+        return;
+    logInfo("config_received",
+            {{"version", version},
+             {"previous", m_loggedVersion},
+             {"source", m_updateSource.empty() ? "registry" : m_updateSource},
+             {"proven_ms_ago", provenAge(provenAt(), now).count()}});
+    m_loggedVersion = version;
+}
+
+void StateSharing::logFreshness(TimePoint now)
+{
+    const Milliseconds age = provenAge(provenAt(), now);
+    if (age.count() >= 0)
+        m_registryAge.Set(std::chrono::duration<double>(age).count());
+    const bool isOutdated = m_loggedVersion > 0 && age > outdatedAfter;
+    if (isOutdated == std::exchange(m_isOutdated, isOutdated))
+        return;
+    if (isOutdated)
+        logWarning("state_outdated",
+                   {{"version", m_loggedVersion},
+                    {"proven_ms_ago", age.count()},
+                    {"is_watcher", m_isWatching ? "yes" : "no"}});
+    else
+        logInfo("state_current", {{"version", m_loggedVersion}});
+}
+
+void StateSharing::setWatching(bool isWatching, const char *reason)
 {
     if (isWatching == m_isWatching)
         return;
     m_isWatching = isWatching;
     logInfo("registry_watch",
-            {{"is_watcher", isWatching ? "yes" : "no"}, {"members", m_state.members().size()}});
+            {{"is_watcher", isWatching ? "yes" : "no"},
+             {"reason", reason},
+             {"members", m_state.members().size()},
+             {"proven_ms_ago", provenAge(provenAt(), Clock::now()).count()}});
     if (isWatching)
         m_feed.startWatching();
     else
@@ -180,7 +232,8 @@
         const bool isStale
             = updateRegistryAge(now) > m_staleAfter + takeoverDelay && !candidates.empty();
         // Without a current source, this process follows the registry until there is one.
-        setWatching(m_tree.isWatcher(now) || isStale);
+        setWatching(m_tree.isWatcher(now) || isStale, isStale ? "stale" : "order");
+        logFreshness(now);
         if (candidates.empty()) {
             co_await sleepFor(watchCheckInterval);
             continue;
@@ -194,19 +247,28 @@
 Task<bool> StateSharing::pollSource(FleetMember source)
 {
     const wire::FleetStateRequest request = m_state.buildRequest(pollWait);
-    const TimePoint deadline = Clock::now() + pollWait + replyTimeoutMargin;
+    const TimePoint polledAt = Clock::now();
+    const TimePoint deadline = polledAt + pollWait + replyTimeoutMargin;
     const CancelToken cancel;
     const auto reply = co_await callPeer<wire::FleetStateReply>(
         m_client, source.peer, statePath, request, requestId, deadline, cancel);
     const TimePoint now = Clock::now();
     if (!isOk(reply)) {
         m_pollsFailed.Increment();
-        logInfo("source_silent", {{"source", source.name}, {"reason", errorOf(reply).reason}});
+        const auto waited = std::chrono::duration_cast<Milliseconds>(now - polledAt);
+        logInfo("source_silent",
+                {{"source", source.name},
+                 {"reason", errorOf(reply).reason},
+                 {"waited_ms", waited.count()},
+                 {"proven_ms_ago", provenAge(provenAt(), now).count()}});
         m_tree.recordFailure(source.name, now);
         co_return false;
     }
+    m_updateSource = source.name;
     m_state.apply(valueOf(reply), now);
+    m_updateSource.clear();
     const Milliseconds age(valueOf(reply).registry_age_ms());
+    m_sourceProvenAt = std::max(m_sourceProvenAt, now - age);
     m_registryAnsweredAt = std::max(m_registryAnsweredAt, now - age);
     if (valueOf(reply).has_lost_registry()) {
         // Excluded, so that the members after it move up and follow the registry in its place.
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -48,7 +48,10 @@
     Task<void> waitForUpdate(Duration limit);
     std::vector<FleetMember> sources(TimePoint now) const;
     Duration updateRegistryAge(TimePoint now);
-    void setWatching(bool isWatching);
+    void setWatching(bool isWatching, const char *reason);
+    void logNewConfig(TimePoint now);
+    void logFreshness(TimePoint now);
+    TimePoint provenAt() const;
     void countSentBytes(const wire::FleetStateReply &reply);
 
     const SharingOptions m_options;
@@ -57,6 +60,7 @@
     RegistryFeed &m_feed;
     Metrics &m_metrics;
     prometheus::Counter &m_pollsFailed;
+    prometheus::Gauge &m_registryAge;
     DisseminationTree m_tree;
     MemberReaper m_reaper;
     PeerClient m_client;
@@ -71,6 +75,10 @@
     /// processes that only poll each other detect that all of them are stale.
     TimePoint m_registryAnsweredAt;
     Duration m_staleAfter; ///< registry age above which this process is stale
+    TimePoint m_sourceProvenAt; ///< time as of which a source proved this state to be complete
+    std::string m_updateSource; ///< name of the source whose reply is being applied; else empty
+    std::uint64_t m_loggedVersion = 0; ///< newest configuration in the log
+    bool m_isOutdated = false; ///< whether the log reports the state as outdated
 };
 
 } // namespace gwt
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -265,6 +265,7 @@
     void stopWatching() override { isWatching = false; }
     bool isCurrent() const override { return isWatching && isReachable; }
     bool isLost() const override { return isWatching && !isReachable; }
+    TimePoint provenAt() const override { return isCurrent() ? Clock::now() : TimePoint(); }
 
     bool isWatching = false;
     bool isReachable = true;
--- a/test/GatewayStatusTest.cpp
+++ b/test/GatewayStatusTest.cpp
@@ -16,6 +16,7 @@
     void stopWatching() override { }
     bool isCurrent() const override { return false; }
     bool isLost() const override { return true; }
+    TimePoint provenAt() const override { return {}; }
 };
 
 class GatewayStatusTest : public GatewayTest
