Take a state for current only as long as there is proof of it

Cause: a watch of the store that waits counted as a watch without news. A store that answers a host no more, on a connection that lives, was noticed when the call timed out: 8 s of wait and 2 s of margin. Until then the process reported an age of zero, and all that poll it believed it. If this meets the three watchers at once, nobody asks the store. Class: silence taken for the absence of news, with time limits that do not follow the time allowed. The same class stood in three more places: all sources silent at once were replaced after 3.0 to 3.7 s plus a poll in flight of 1.2 s, of 3 or 5 s allowed; the process gave up its own watch as soon as it had listed once, so that it went blind again and again; a process that had just started, without state, reported an age of 1.2 s.

Change: FreshnessLimits derives all waits from bounds.configApplyMs. The watch of the configuration waits a fifth of it and is also the check that the store answers; when it gets no reply, the other watches are dropped and listed anew, and idle connections are closed. The age that a process reports is that of its last proof. A process whose proofs are older than live sources ever give follows the store itself, in time, since no poll outlasts that moment, and does so until a source is current again. Members that did not answer are left alone for four times what the poll took; until one answers, the others are only probed.

Why it works: whatever goes silent, within the derived limits there is either a proof or a takeover, and the limits leave a third of the time allowed for the listing (FreshnessLimitsTest).

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -50,8 +50,10 @@
     gwt::GatewayProcess process(context, timers, core, options, listeners, metrics);
     gwt::FleetState state(core);
     const gwt::FleetMember self{settings.hostName, settings.peer, settings.availabilityZone};
-    const gwt::SharingOptions sharingOptions{self, settings.seeds};
-    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state);
+    const gwt::FreshnessLimits limits(settings.updateLimit);
+    const gwt::SharingOptions sharingOptions{self, settings.seeds, limits};
+    gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state,
+                                     limits.watchWait());
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
     gwt::platform::SettingsWatch watch(timers, path, settings,
                                        [&core, &process](const PlatformSettings &changed) {
--- a/src/gateway/sharing/DisseminationTree.cpp
+++ b/src/gateway/sharing/DisseminationTree.cpp
@@ -125,10 +125,11 @@
     return sources;
 }
 
-void DisseminationTree::recordFailure(const std::string &member, TimePoint now)
+void DisseminationTree::recordFailure(const std::string &member, Duration pollTime, TimePoint now)
 {
     Exclusion &exclusion = m_exclusions[member];
-    exclusion.length = std::clamp(exclusion.length * 2, s_initialExclusion, s_maxExclusion);
+    const Duration least = std::max(s_initialExclusion, s_exclusionPerPollTime * pollTime);
+    exclusion.length = std::min(std::max(exclusion.length * 2, least), s_maxExclusion);
     exclusion.until = now + exclusion.length;
 }
 
--- a/src/gateway/sharing/DisseminationTree.h
+++ b/src/gateway/sharing/DisseminationTree.h
@@ -28,10 +28,13 @@
     /// Average number of members that poll one source. Three levels below the watchers then hold
     /// 3,400 members, and no source answers more than some 60 requests a second.
     static constexpr std::size_t s_fanOut = 14;
-    /// Exclusion of a silent member; doubles with each consecutive failure. A member that has just
-    /// started is retried soon, one that is gone rarely.
+    /// Exclusion of a member that did not answer; doubles with each consecutive failure. A member
+    /// that has just started is retried soon, one that is gone rarely.
     static constexpr Duration s_initialExclusion = Milliseconds(250);
     static constexpr Duration s_maxExclusion = std::chrono::seconds(8);
+    /// Exclusion in relation to the time that the failed poll took, so that silent members do not
+    /// take up most of the time for polls.
+    static constexpr int s_exclusionPerPollTime = 4;
 
     explicit DisseminationTree(std::string self);
 
@@ -46,7 +49,8 @@
     int hops(TimePoint now) const { return upstream(now).hops; }
     /// \brief The first members in the order other than this process, watchers or not.
     std::vector<FleetMember> fallbackSources(TimePoint now) const;
-    void recordFailure(const std::string &member, TimePoint now);
+    /// \brief Excludes \a member, which did not answer a poll within \a pollTime.
+    void recordFailure(const std::string &member, Duration pollTime, TimePoint now);
     void recordSuccess(const std::string &member) { m_exclusions.erase(member); }
 
 private:
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -16,34 +16,18 @@
 const std::string requestId = "state";
 
 constexpr Milliseconds connectTimeout{300};
-/// How long a poll waits for an update. With three sources in turn, a partitioned one delays an
-/// update by no more than this.
-constexpr Milliseconds pollWait{700};
-/// Time beyond the wait after which a source that has not answered counts as silent.
-constexpr Milliseconds replyTimeoutMargin{500};
+/// Timeout of a poll that does not wait for an update; exceeds the connect timeout.
+constexpr Milliseconds probeTimeout{400};
 /// Interval at which a watcher checks whether it still has to be one.
 constexpr Milliseconds watchCheckInterval{500};
-/// Time after the start in which a source must prove to be current. Otherwise this process follows
-/// the registry, because without a configuration it refuses all requests.
-constexpr Milliseconds startGrace{300};
-/// Registry age above which a source counts as stale; it then answers polls without a wait. A
-/// process of a small fleet follows the registry itself from this age on, one of a large fleet from
-/// twice this age on, so that others move up first. Half of the shortest time in which a
-/// configuration must be in force.
-constexpr Milliseconds maxRegistryAge{1500};
-/// Registry age from which the state is reported as outdated: the shortest time in which a
-/// configuration must be in force.
-constexpr Milliseconds outdatedAfter{3000};
+/// Time after the start in which a source must prove to be current, in a large fleet. Otherwise
+/// this process follows the registry, because without a configuration it refuses all requests.
+constexpr Milliseconds startGrace{1800};
 /// Up to this many members, each process follows the registry as it starts: if the whole fleet has
 /// just started, its sources become current too late, and the calls are few.
 constexpr std::size_t smallFleetSize = 12;
 /// Pause after a poll that got no current reply.
 constexpr Milliseconds failurePause{50};
-/// Pause after a poll, so that changes in quick succession are sent together.
-constexpr Milliseconds batchPause{30};
-/// What each further level between a process and the watchers adds to the registry age: one poll
-/// that ended without an update, and the pause after it.
-constexpr Milliseconds agePerLevel = pollWait + batchPause;
 
 /// Age of a proof for the log; -1 if there is none.
 Milliseconds provenAge(TimePoint provenAt, TimePoint now)
@@ -70,7 +54,7 @@
     , m_reaper(m_options.self.name)
     , m_client(m_executor, connectTimeout)
     , m_server(m_executor)
-    , m_staleAfter(maxRegistryAge)
+    , m_staleAfter(m_options.limits.staleAfter(1))
 { }
 
 Outcome<Endpoint> StateSharing::start()
@@ -126,7 +110,8 @@
             continue;
         const wire::FleetStateRequest request = m_state.buildRequest(Milliseconds(0));
         const CancelToken cancel;
-        const TimePoint deadline = now + pollWait + replyTimeoutMargin;
+        const TimePoint deadline
+            = now + m_options.limits.pollWait() + FreshnessLimits::s_replyMargin;
         const auto reply = co_await callPeer<wire::FleetStateReply>(
             m_client, member->peer, statePath, request, requestId, deadline, cancel);
         if (!m_reaper.recordProbe(member->name, isOk(reply), Clock::now()))
@@ -136,19 +121,6 @@
     }
 }
 
-Duration StateSharing::registryAge(TimePoint now) const
-{
-    const bool isCurrent = m_isWatching && m_feed.isCurrent();
-    return isCurrent ? Duration::zero() : now - m_registryAnsweredAt;
-}
-
-Duration StateSharing::updateRegistryAge(TimePoint now)
-{
-    const Duration age = registryAge(now);
-    m_registryAnsweredAt = now - age;
-    return age;
-}
-
 std::vector<FleetMember> StateSharing::sources(TimePoint now) const
 {
     std::vector<FleetMember> sources = m_tree.sources(now);
@@ -188,7 +160,7 @@
     const Milliseconds age = provenAge(provenAt(), now);
     if (age.count() >= 0)
         m_registryAge.Set(std::chrono::duration<double>(age).count());
-    const bool isOutdated = m_loggedVersion > 0 && age > outdatedAfter;
+    const bool isOutdated = m_loggedVersion > 0 && age > m_options.limits.updateLimit();
     if (isOutdated == std::exchange(m_isOutdated, isOutdated))
         return;
     if (isOutdated)
@@ -219,20 +191,16 @@
 Task<void> StateSharing::run()
 {
     while (!m_hasJoined)
-        co_await sleepFor(batchPause);
+        co_await sleepFor(FreshnessLimits::s_batchPause);
     if (m_state.members().size() > smallFleetSize)
-        m_registryAnsweredAt
-            = std::max(m_registryAnsweredAt, Clock::now() + startGrace - maxRegistryAge);
+        m_takeoverFrom = Clock::now() + startGrace;
     for (;;) {
         const TimePoint now = Clock::now();
         const std::vector<FleetMember> candidates = sources(now);
-        m_staleAfter = maxRegistryAge + agePerLevel * std::max(0, m_tree.hops(now) - 1);
-        const Duration takeoverDelay
-            = m_state.members().size() > smallFleetSize ? maxRegistryAge : Milliseconds(0);
-        const bool isStale
-            = updateRegistryAge(now) > m_staleAfter + takeoverDelay && !candidates.empty();
+        m_staleAfter = m_options.limits.staleAfter(std::max(1, m_tree.hops(now)));
+        const bool isWatcher = m_tree.isWatcher(now);
         // Without a current source, this process follows the registry until there is one.
-        setWatching(m_tree.isWatcher(now) || isStale, isStale ? "stale" : "order");
+        setWatching(isWatcher || now >= takeoverAt(), isWatcher ? "order" : "stale");
         logFreshness(now);
         if (candidates.empty()) {
             co_await sleepFor(watchCheckInterval);
@@ -240,19 +208,37 @@
         }
         const FleetMember &source = candidates[m_nextSource++ % candidates.size()];
         const bool isCurrent = co_await pollSource(source);
-        co_await sleepFor(isCurrent ? batchPause : failurePause);
+        co_await sleepFor(isCurrent ? FreshnessLimits::s_batchPause : failurePause);
     }
 }
 
+TimePoint StateSharing::takeoverAt() const
+{
+    return std::max(m_sourceProvenAt + m_staleAfter, m_takeoverFrom);
+}
+
+Duration StateSharing::pollTimeout(TimePoint now) const
+{
+    if (m_isSearching)
+        return probeTimeout;
+    const Duration longest = m_options.limits.pollWait() + FreshnessLimits::s_replyMargin;
+    // A poll that lasts longer would delay the takeover.
+    return m_isWatching ? longest : std::clamp<Duration>(takeoverAt() - now, probeTimeout, longest);
+}
+
 Task<bool> StateSharing::pollSource(FleetMember source)
 {
-    const wire::FleetStateRequest request = m_state.buildRequest(pollWait);
     const TimePoint polledAt = Clock::now();
-    const TimePoint deadline = polledAt + pollWait + replyTimeoutMargin;
+    const Duration timeout = pollTimeout(polledAt);
+    const Duration wait = std::max(timeout - FreshnessLimits::s_replyMargin, Duration::zero());
+    const wire::FleetStateRequest request
+        = m_state.buildRequest(std::chrono::duration_cast<Milliseconds>(wait));
+    const TimePoint deadline = polledAt + timeout;
     const CancelToken cancel;
     const auto reply = co_await callPeer<wire::FleetStateReply>(
         m_client, source.peer, statePath, request, requestId, deadline, cancel);
     const TimePoint now = Clock::now();
+    m_isSearching = !isOk(reply);
     if (!isOk(reply)) {
         m_pollsFailed.Increment();
         const auto waited = std::chrono::duration_cast<Milliseconds>(now - polledAt);
@@ -261,7 +247,7 @@
                  {"reason", errorOf(reply).reason},
                  {"waited_ms", waited.count()},
                  {"proven_ms_ago", provenAge(provenAt(), now).count()}});
-        m_tree.recordFailure(source.name, now);
+        m_tree.recordFailure(source.name, now - polledAt, now);
         co_return false;
     }
     m_updateSource = source.name;
@@ -269,12 +255,11 @@
     m_updateSource.clear();
     const Milliseconds age(valueOf(reply).registry_age_ms());
     m_sourceProvenAt = std::max(m_sourceProvenAt, now - age);
-    m_registryAnsweredAt = std::max(m_registryAnsweredAt, now - age);
     if (valueOf(reply).has_lost_registry()) {
         // Excluded, so that the members after it move up and follow the registry in its place.
         m_pollsFailed.Increment();
         logInfo("source_outdated", {{"source", source.name}, {"registry_age_ms", age.count()}});
-        m_tree.recordFailure(source.name, now);
+        m_tree.recordFailure(source.name, Duration::zero(), now);
         co_return false;
     }
     m_tree.recordSuccess(source.name);
@@ -312,13 +297,15 @@
 
 Task<wire::FleetStateReply> StateSharing::serve(wire::FleetStateRequest request, PeerRequest)
 {
-    const bool isStale = m_feed.isLost() || updateRegistryAge(Clock::now()) > m_staleAfter;
+    // A process without a configuration has just started and gets its state soon.
+    const bool isStale = m_feed.isLost()
+        || (registryAge(Clock::now()) > m_staleAfter && m_state.configVersion() > 0);
     if (!isStale && !m_state.hasUpdates(request)) {
         const Milliseconds requestedWait(request.wait_ms());
-        co_await waitForUpdate(std::min<Duration>(requestedWait, pollWait));
+        co_await waitForUpdate(std::min(requestedWait, m_options.limits.pollWait()));
     }
     const TimePoint now = Clock::now();
-    wire::FleetStateReply reply = m_state.buildReply(request, updateRegistryAge(now), now);
+    wire::FleetStateReply reply = m_state.buildReply(request, registryAge(now), now);
     reply.set_has_lost_registry(m_isWatching && m_feed.isLost());
     countSentBytes(reply);
     co_return reply;
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -3,6 +3,7 @@
 #include "common/Metrics.h"
 #include "gateway/sharing/DisseminationTree.h"
 #include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/FreshnessLimits.h"
 #include "gateway/sharing/MemberReaper.h"
 #include "gateway/sharing/RegistryFeed.h"
 #include "peer/Peer.h"
@@ -19,6 +20,7 @@
 {
     FleetMember self;
     std::vector<Endpoint> seeds; ///< polled while no members are known
+    FreshnessLimits limits{std::chrono::seconds(3)};
     /// Minimum between two registrations of this process; a registration is visible sooner.
     Duration minJoinInterval = std::chrono::seconds(5);
 };
@@ -34,8 +36,9 @@
 
     /// \brief Errors: Unavailable "listen_failed".
     Outcome<Endpoint> start();
-    /// \brief Time since the registry last answered this process or its source.
-    Duration registryAge(TimePoint now) const;
+    /// \brief Time since this state was last proved to hold all updates of the registry; the time
+    /// since the epoch of the clock if it never was.
+    Duration registryAge(TimePoint now) const { return now - provenAt(); }
     /// \brief True while this process follows the registry itself.
     bool isWatching() const { return m_isWatching; }
 
@@ -47,11 +50,12 @@
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
     Task<void> waitForUpdate(Duration limit);
     std::vector<FleetMember> sources(TimePoint now) const;
-    Duration updateRegistryAge(TimePoint now);
     void setWatching(bool isWatching, const char *reason);
     void logNewConfig(TimePoint now);
     void logFreshness(TimePoint now);
     TimePoint provenAt() const;
+    TimePoint takeoverAt() const;
+    Duration pollTimeout(TimePoint now) const;
     void countSentBytes(const wire::FleetStateReply &reply);
 
     const SharingOptions m_options;
@@ -71,11 +75,12 @@
     std::size_t m_nextSource = 0;
     std::uint64_t m_memberRevision = 0; ///< of the members in the tree and the reaper
     TimePoint m_joinedAt; ///< time of the last registration request
-    /// When the registry last answered this process or its source. Replies carry the age, so that
-    /// processes that only poll each other detect that all of them are stale.
-    TimePoint m_registryAnsweredAt;
     Duration m_staleAfter; ///< registry age above which this process is stale
-    TimePoint m_sourceProvenAt; ///< time as of which a source proved this state to be complete
+    TimePoint m_takeoverFrom; ///< before it, this process relies on its sources even without proof
+    /// Time as of which a source proved this state to be complete. Replies carry the age of the
+    /// proof, so that processes that only poll each other detect that all of them are stale.
+    TimePoint m_sourceProvenAt;
+    bool m_isSearching = false; ///< no source has answered since the last poll that failed
     std::string m_updateSource; ///< name of the source whose reply is being applied; else empty
     std::uint64_t m_loggedVersion = 0; ///< newest configuration in the log
     bool m_isOutdated = false; ///< whether the log reports the state as outdated
--- a/standins/platform/FakePlatform.cpp
+++ b/standins/platform/FakePlatform.cpp
@@ -308,6 +308,7 @@
     const auto after = toNumber<std::uint64_t>(request.queryValue("watch"), 0);
     const Milliseconds wait(toNumber<std::int64_t>(request.queryValue("waitMs"), 0));
     const TimePoint deadline = Clock::now() + wait;
+    bool isSilenced = false;
     for (;;) {
         const std::uint64_t asOf = m_data.revision();
         const auto changes = m_data.changesAfter(target.kind, after);
@@ -315,7 +316,7 @@
             co_return errorResponse(410, "history_gone");
         const bool isDone
             = !changes->empty() || Clock::now() >= deadline || request.cancel.isCancelled();
-        if (isDone) {
+        if (isDone && !isSilenced) {
             json::array events;
             std::uint64_t last = asOf;
             for (const RecordChange &change : *changes) {
@@ -326,6 +327,12 @@
             co_return jsonResponse(200, json::object{{"events", events}, {"asOf", last}});
         }
         co_await sleepFor(watchPollInterval);
+        // A watch that is open when the store falls silent never gets its reply.
+        isSilenced = isSilenced || faults().isSilent;
+        if (isSilenced && request.cancel.isCancelled())
+            co_return lostReply();
+        if (isSilenced)
+            continue;
         if (faults().isDown)
             co_return errorResponse(503, "store_unavailable");
         if (faults().resets)
--- a/standins/platform/FakePlatform.h
+++ b/standins/platform/FakePlatform.h
@@ -15,7 +15,8 @@
 struct PlatformFaults
 {
     bool isDown = false; ///< calls get status 503 and have no effect
-    bool isSilent = false; ///< calls have no effect, and no reply until the fault ends
+    /// Calls have no effect, and no reply until the fault ends; open watches never get one.
+    bool isSilent = false;
     bool resets = false; ///< each call closes its connection and has no effect
     Milliseconds delay{0}; ///< before each reply
     Milliseconds lateEffect{0}; ///< writes get no reply and take effect only after this time
--- a/test/DisseminationTreeTest.cpp
+++ b/test/DisseminationTreeTest.cpp
@@ -135,12 +135,37 @@
         const FleetMember source = tree.sources(now).front();
         EXPECT_TRUE(silenced.insert(source.name).second)
             << "a silent member was polled again at once";
-        tree.recordFailure(source.name, now);
+        tree.recordFailure(source.name, 0ms, now);
     }
     EXPECT_LT(silenced.size(), members.size());
     EXPECT_EQ(tree.sources(now + DisseminationTree::s_maxExclusion).empty(), silenced.empty());
 }
 
+// Guards against a process that spends most of its time on polls of the same silent members.
+TEST(DisseminationTreeExclusionTest, aMemberIsExcludedForLongerThanItsPollTook)
+{
+    const Fleet fleet({66, 3});
+    const auto isPolled
+        = [](const DisseminationTree &tree, const std::string &name, TimePoint now) {
+              const auto sources = tree.sources(now);
+              return std::any_of(sources.begin(), sources.end(),
+                                 [&](const FleetMember &source) { return source.name == name; });
+          };
+    const auto poller = std::find_if(fleet.hops.begin(), fleet.hops.end(),
+                                     [](const auto &member) { return member.second == 2; });
+    ASSERT_NE(poller, fleet.hops.end());
+    for (const Duration pollTime : {Duration(0ms), Duration(400ms), Duration(1200ms)}) {
+        DisseminationTree tree(poller->first);
+        tree.setMembers(fleet.members);
+        const std::string silent = tree.sources(start).front().name;
+        tree.recordFailure(silent, pollTime, start);
+        EXPECT_FALSE(isPolled(tree, silent, start + 3 * pollTime));
+        EXPECT_TRUE(isPolled(tree, silent, start + DisseminationTree::s_maxExclusion));
+        tree.recordSuccess(silent);
+        EXPECT_TRUE(isPolled(tree, silent, start));
+    }
+}
+
 TEST(DisseminationTreeExclusionTest, silentHeadsAreReplacedWithinTheirZone)
 {
     const Fleet fleet({66, 3});
@@ -154,7 +179,7 @@
     tree.setMembers(fleet.members);
     std::set<std::string> silent;
     for (const FleetMember &head : tree.sources(start)) {
-        tree.recordFailure(head.name, start);
+        tree.recordFailure(head.name, 0ms, start);
         silent.insert(head.name);
     }
     for (const FleetMember &source : tree.sources(start)) {
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -1,4 +1,5 @@
 #include "gateway/sharing/FleetState.h"
+#include "gateway/sharing/FreshnessLimits.h"
 #include "gateway/sharing/MemberReaper.h"
 #include "gateway/sharing/StateSharing.h"
 
@@ -27,6 +28,34 @@
     return members;
 }
 
+struct LimitsCase
+{
+    const char *name;
+    Milliseconds updateLimit;
+    int hops;
+};
+
+class FreshnessLimitsTest : public testing::TestWithParam<LimitsCase>
+{ };
+
+TEST_P(FreshnessLimitsTest, anOutdatedStateIsNoticedInTimeToAskTheRegistry)
+{
+    constexpr Milliseconds lastPoll{400}; // in flight when the state becomes stale
+    constexpr Milliseconds listing{400}; // by a slow registry
+    const FreshnessLimits limits(GetParam().updateLimit);
+    EXPECT_LE(limits.staleAfter(GetParam().hops) + lastPoll + listing, GetParam().updateLimit);
+    // Live sources are never older than that.
+    EXPECT_GE(limits.staleAfter(GetParam().hops),
+              limits.watchWait() + GetParam().hops * limits.pollWait());
+}
+
+INSTANTIATE_TEST_SUITE_P(All, FreshnessLimitsTest,
+                         testing::Values(LimitsCase{"smallFleet", 3000ms, 1},
+                                         LimitsCase{"twoLevels", 3000ms, 2},
+                                         LimitsCase{"largeFleet", 5000ms, 2},
+                                         LimitsCase{"largestFleet", 5000ms, 3}),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct ReaperCase
 {
     const char *name;
@@ -283,7 +312,8 @@
     Process(boost::asio::io_context &context, const FleetMember &self,
             const std::vector<FleetMember> &members, Duration minJoinInterval)
         : feed(state, members)
-        , sharing(context, SharingOptions{self, {}, minJoinInterval}, state, feed, metrics)
+        , sharing(context, SharingOptions{self, {}, FreshnessLimits(3s), minJoinInterval}, state,
+                  feed, metrics)
     { }
 
     RecordingObserver recorder;
@@ -376,6 +406,19 @@
     EXPECT_TRUE(test::runUntil(m_context, [&] { return allHaveVersion(8); }));
 }
 
+// Guards against processes that put off asking the registry because a process that has just
+// started, and holds nothing yet, claims to be up to date.
+TEST_F(StateSharingTest, aProcessWithoutStateClaimsNoFreshness)
+{
+    makeProcesses(20);
+    Process &started = *m_processes[0];
+    started.feed.isReachable = false;
+    ASSERT_TRUE(isOk(started.sharing.start()));
+    test::runUntil(
+        m_context, [] { return false; }, 100ms);
+    EXPECT_GT(started.sharing.registryAge(Clock::now()), 1min);
+}
+
 TEST_F(StateSharingTest, aProcessWhoseRegistrationWasRemovedRegistersAgain)
 {
     makeProcesses(3);
--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -31,6 +31,7 @@
         m_calls.push_back(line);
     }
     void onRecovery() override { m_calls.emplace_back("return"); }
+    void onSilence() override { m_calls.emplace_back("silence"); }
     const std::vector<std::string> &calls() const { return m_calls; }
     bool hasCall(const std::string &call) const
     {
@@ -53,6 +54,8 @@
 
 const std::string onePage = R"({"items":[{"meta":{"name":"a","revision":3},"spec":{}}],"asOf":5})";
 
+constexpr KindFeedTiming timing{1ms, 600ms, 500ms};
+
 class KindFeedTest : public testing::Test
 {
 protected:
@@ -60,8 +63,8 @@
     {
         m_transport = std::make_unique<LoopTransport>(m_context, m_timers, server.endpoint());
         m_store = std::make_unique<StoreClient>(*m_transport);
-        m_feed
-            = std::make_unique<KindFeed>(*m_store, m_timers, m_metrics, "servers", 1ms, m_recorder);
+        m_feed = std::make_unique<KindFeed>(*m_store, m_timers, m_metrics, "servers", timing,
+                                            m_recorder);
         m_feed->start();
     }
 
@@ -123,6 +126,28 @@
     EXPECT_EQ(m_recorder.calls(), (std::vector<std::string>{"listing:1", "return", "listing:1"}));
 }
 
+// Guards against a watch that counts as one without news while the store has fallen silent on an
+// open connection.
+TEST_F(KindFeedTest, aWatchWithoutReplyIsLostSoonAfterItsWait)
+{
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        return isWatch(request) ? ScriptedReply{} : json(onePage);
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 2; }));
+    const TimePoint watchedAt = Clock::now();
+    EXPECT_TRUE(m_feed->isCurrent());
+    EXPECT_LE(m_feed->provenAt(), watchedAt);
+    ASSERT_TRUE(test::runUntil(
+        m_context, [&] { return m_feed->isLost(); },
+        timing.watchWait + timing.replyMargin + 500ms));
+    EXPECT_LE(m_feed->provenAt(), watchedAt);
+    EXPECT_TRUE(test::runUntil(m_context, [&] { return m_recorder.calls().size() == 4; }));
+    EXPECT_EQ(m_recorder.calls(),
+              (std::vector<std::string>{"listing:1", "silence", "return", "listing:1"}));
+    EXPECT_GT(m_feed->provenAt(), watchedAt);
+}
+
 struct FailureCase
 {
     std::string name;
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -274,6 +274,7 @@
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 retryBudgetExtra = 54
+configApplyMs = 5000
 [platform]
 address = "10.0.0.9:82"
 readsPerS = 2000
@@ -290,6 +291,17 @@
     EXPECT_EQ(valueOf(parsed).seeds, std::vector<Endpoint>{Endpoint("10.0.0.2", 90)});
     EXPECT_EQ(valueOf(parsed).retryBudgetExtra, 54);
     EXPECT_EQ(valueOf(parsed).shutdownGrace, 6s);
+    EXPECT_EQ(valueOf(parsed).updateLimit, 5s);
+}
+
+TEST(PlatformSettingsTest, theUpdateLimitMayBeMissing)
+{
+    std::string text = goodSettings;
+    const std::string line = "configApplyMs = 5000\n";
+    text.replace(text.find(line), line.size(), "");
+    const auto parsed = parsePlatformSettings(text, "node.toml");
+    ASSERT_TRUE(isOk(parsed)) << errorOf(parsed).detail;
+    EXPECT_EQ(valueOf(parsed).updateLimit, 3s);
 }
 
 struct SettingsCase
@@ -331,6 +343,9 @@
                      "node.toml: bounds.budgetWindowS: expected whole seconds from 1 to 3600"},
         SettingsCase{"longWindow", "budgetWindowS = 10", "budgetWindowS = 9223372036854775807",
                      "node.toml: bounds.budgetWindowS: expected whole seconds from 1 to 3600"},
+        SettingsCase{"noTimeToApply", "configApplyMs = 5000", "configApplyMs = 0",
+                     "node.toml: bounds.configApplyMs: expected whole milliseconds from 500 to "
+                     "3600000"},
         SettingsCase{"noNumber", "retryBudgetExtra = 54", "retryBudgetExtra = nan",
                      "node.toml: bounds.retryBudgetExtra: expected a number from 0 to 1000000000"}),
     [](const auto &info) { return info.param.name; });
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -27,7 +27,7 @@
     PlatformFeedTest()
         : m_store(valueOf(m_platform.listen({"127.0.0.1", 0})))
         , m_feed(m_context, m_timers, m_metrics, m_store, {"host-a", {"127.0.0.1", 1}, "north"},
-                 m_state)
+                 m_state, 600ms)
     { }
 
     bool joinAndRegister()
@@ -40,6 +40,10 @@
     {
         return m_platform.data().get("gateways", host).has_value();
     }
+    bool isCurrentAfter(TimePoint time)
+    {
+        return runUntil(m_context, [&] { return m_feed.isCurrent() && m_feed.provenAt() > time; });
+    }
     bool membersBecome(std::size_t count)
     {
         return runUntil(
@@ -87,6 +91,28 @@
     EXPECT_EQ(m_state.members()[2].availabilityZone, "south");
 }
 
+// Guards against backend servers and members that stay outdated after the store fell silent on open
+// connections: their long watches never get a reply.
+TEST_F(PlatformFeedTest, afterASilenceOfTheStoreAllKindsAreListedAnew)
+{
+    ASSERT_TRUE(joinAndRegister());
+    m_feed.startWatching();
+    ASSERT_TRUE(isCurrentAfter(Clock::now()));
+    ASSERT_TRUE(membersBecome(1));
+    PlatformFaults faults;
+    faults.isSilent = true;
+    m_platform.setFaults(faults);
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return m_feed.isLost(); }, 3s));
+    EXPECT_FALSE(m_feed.isCurrent());
+    const TimePoint lostAt = Clock::now();
+    EXPECT_LT(m_feed.provenAt(), lostAt);
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
+    m_platform.setFaults({});
+    EXPECT_TRUE(isCurrentAfter(lostAt));
+    EXPECT_TRUE(membersBecome(2));
+}
+
 TEST_F(PlatformFeedTest, removedRegistrationIsRestoredByRejoining)
 {
     ASSERT_TRUE(joinAndRegister());
--- a/test/SnippetsTest.sh
+++ b/test/SnippetsTest.sh
@@ -85,6 +85,7 @@
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 retryBudgetExtra = 50
+configApplyMs = 3000
 [platform]
 address = "$P"
 readsPerS = 2000
--- a/test/UpdateDelayTest.cpp
+++ b/test/UpdateDelayTest.cpp
@@ -34,11 +34,12 @@
 struct Process
 {
     Process(boost::asio::io_context &context, boost::asio::io_context &proxyContext,
-            TimerQueue &proxyTimers, const Endpoint &store, const FleetMember &self)
+            TimerQueue &proxyTimers, const Endpoint &store, const FleetMember &self,
+            const FreshnessLimits &limits)
         : timers(context)
         , proxy(proxyContext, proxyTimers, store)
-        , feed(context, timers, metrics, proxy.endpoint(), self, state)
-        , sharing(context, SharingOptions{self, {}}, state, feed, metrics)
+        , feed(context, timers, metrics, proxy.endpoint(), self, state, limits.watchWait())
+        , sharing(context, SharingOptions{self, {}, limits}, state, feed, metrics)
     { }
 
     TimerQueue timers;
@@ -82,7 +83,8 @@
             tree.setMembers(members);
             const bool isWatcher = tree.isWatcher(Clock::now());
             auto process = std::make_unique<Process>(isWatcher ? m_watcherContext : m_context,
-                                                     m_context, m_timers, m_store, member);
+                                                     m_context, m_timers, m_store, member,
+                                                     FreshnessLimits(GetParam().updateLimit));
             ASSERT_TRUE(isOk(process->sharing.start()));
             (isWatcher ? m_watchers : m_followers).push_back(std::move(process));
         }
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -62,6 +62,7 @@
                                   << "\nready = " << quoted(m_readiness)
                                   << "\ncontrolPlane = " << quoted(m_peer)
                                   << "\n[bounds]\ngraceS = 6\ndrainMs = 3000\n"
+                                     "configApplyMs = 3000\n"
                                      "retryBudgetRatio = 0.2\nbudgetWindowS = 10\n"
                                      "retryBudgetExtra = "
                                   << extraRepeats << "\n[platform]\naddress = " << quoted(m_store)
