Do not take a rejected delta for proof, and request the full state at once

Cause: the reply with the rejected delta still renewed the age of the state, and the next request, for the full state, went to the next source in turn, which was silent. The mark that asks for the full state was cleared only by a newer version from another process: if the store itself sent the version, every later poll was answered at once with everything, until the next change.

Change: FleetState::apply tells whether all of a reply was applied; only then does it count as proof, else the same source is polled again at once. Each update of a part clears its mark, from whichever side it comes.

Evidence: RevertedChangeTest, two new checks for configuration, backend servers and members. On the code before, aRejectedDeltaIsForgottenOnceTheRegistrySendsTheUpdate failed in 3 of 3 rows; the other check needs the new result.

--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -61,6 +61,7 @@
 {
     if (config.version <= configVersion())
         return;
+    m_rejected.config = false;
     m_configs.replace(config);
     m_observer.onConfig(m_configs.current());
     notifyUpdate();
@@ -70,6 +71,7 @@
 {
     if (revision < m_backendRevision)
         return;
+    m_rejected.backends = false;
     VersionedSet::Digests digests;
     m_entries.clear();
     for (const BackendEntry &entry : entries) {
@@ -85,6 +87,7 @@
 void FleetState::applyBackendChanges(const std::vector<BackendChange> &changes,
                                      std::uint64_t revision)
 {
+    m_rejected.backends = false;
     m_backendRevision = std::max(m_backendRevision, revision);
     for (const BackendChange &change : changes) {
         if (change.entry)
@@ -101,6 +104,7 @@
 {
     if (revision < m_memberRevision)
         return;
+    m_rejected.members = false;
     // Even if nothing else changed: with an older revision, this process would be sent the same
     // members again and again without a wait.
     m_memberRevision = revision;
@@ -194,7 +198,7 @@
     return reply;
 }
 
-void FleetState::apply(const wire::FleetStateReply &reply, TimePoint now)
+bool FleetState::apply(const wire::FleetStateReply &reply, TimePoint now)
 {
     if (reply.has_registry_returned_ms()) {
         const TimePoint recoveredAt = now - Milliseconds(reply.registry_returned_ms());
@@ -206,14 +210,21 @@
         applyConfig(reply.config());
     if (reply.backend_revision() > m_backendRevision)
         applyBackends(reply);
+    else
+        m_rejected.backends = false;
     if (reply.member_revision() > m_memberRevision)
         applyMembers(reply);
+    else
+        m_rejected.members = false;
+    return !m_rejected.config && !m_rejected.backends && !m_rejected.members;
 }
 
 void FleetState::applyConfig(const wire::RoutingConfigMessage &message)
 {
-    if (message.version() <= configVersion())
+    if (message.version() <= configVersion()) {
+        m_rejected.config = false;
         return;
+    }
     m_rejected.config = !isOk(m_configs.apply(message));
     if (m_rejected.config) {
         logRejectedDelta("configuration", configVersion(), message.version());
@@ -238,7 +249,6 @@
             applyBackendChanges(changes, reply.backend_revision());
         return;
     }
-    m_rejected.backends = false;
     std::vector<BackendEntry> entries;
     for (BackendChange &change : changes) {
         if (change.entry)
@@ -270,7 +280,6 @@
             return;
         }
     }
-    m_rejected.members = false;
     setMembers(list, reply.member_revision());
 }
 
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -56,8 +56,9 @@
     bool hasUpdates(const wire::FleetStateRequest &request) const;
     /// \brief Builds a request for everything newer than this state.
     wire::FleetStateRequest buildRequest(Milliseconds wait) const;
-    /// \brief Applies the reply of another process.
-    void apply(const wire::FleetStateReply &reply, TimePoint now);
+    /// \brief Applies the reply of another process; false if a delta in it was rejected, so that
+    /// the next request is for the full state of that part.
+    bool apply(const wire::FleetStateReply &reply, TimePoint now);
 
     /// \brief All processes, by name.
     const std::vector<FleetMember> &members() const { return m_members; }
@@ -68,7 +69,8 @@
     void setUpdateHandler(std::function<void()> handler) { m_updateHandler = std::move(handler); }
 
 private:
-    /// \brief The parts whose last delta was rejected, which are requested in full.
+    /// \brief The parts whose last delta was rejected, which are requested in full until they are
+    /// updated from any side.
     struct RejectedParts
     {
         bool config = false;
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -207,7 +207,10 @@
             continue;
         }
         const FleetMember &source = candidates[m_nextSource++ % candidates.size()];
-        const bool isCurrent = co_await pollSource(source);
+        PollResult result = co_await pollSource(source);
+        if (result == PollResult::Incomplete)
+            result = co_await pollSource(source);
+        const bool isCurrent = result == PollResult::Current;
         co_await sleepFor(isCurrent ? FreshnessLimits::s_batchPause : failurePause);
     }
 }
@@ -226,7 +229,7 @@
     return m_isWatching ? longest : std::clamp<Duration>(takeoverAt() - now, probeTimeout, longest);
 }
 
-Task<bool> StateSharing::pollSource(FleetMember source)
+Task<StateSharing::PollResult> StateSharing::pollSource(FleetMember source)
 {
     const TimePoint polledAt = Clock::now();
     const Duration timeout = pollTimeout(polledAt);
@@ -248,22 +251,25 @@
                  {"waited_ms", waited.count()},
                  {"proven_ms_ago", provenAge(provenAt(), now).count()}});
         m_tree.recordFailure(source.name, now - polledAt, now);
-        co_return false;
+        co_return PollResult::Outdated;
     }
     m_updateSource = source.name;
-    m_state.apply(valueOf(reply), now);
+    const bool isComplete = m_state.apply(valueOf(reply), now);
     m_updateSource.clear();
     const Milliseconds age(valueOf(reply).registry_age_ms());
-    m_sourceProvenAt = std::max(m_sourceProvenAt, now - age);
+    if (isComplete)
+        m_sourceProvenAt = std::max(m_sourceProvenAt, now - age);
     if (valueOf(reply).has_lost_registry()) {
         // Excluded, so that the members after it move up and follow the registry in its place.
         m_pollsFailed.Increment();
         logInfo("source_outdated", {{"source", source.name}, {"registry_age_ms", age.count()}});
         m_tree.recordFailure(source.name, Duration::zero(), now);
-        co_return false;
+        co_return PollResult::Outdated;
     }
     m_tree.recordSuccess(source.name);
-    co_return age <= m_staleAfter;
+    if (!isComplete)
+        co_return PollResult::Incomplete;
+    co_return age <= m_staleAfter ? PollResult::Current : PollResult::Outdated;
 }
 
 Task<void> StateSharing::waitForUpdate(Duration limit)
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -45,7 +45,13 @@
 private:
     Task<void> run();
     Task<void> reapMembers();
-    Task<bool> pollSource(FleetMember source);
+    enum class PollResult {
+        Current, ///< the source is current
+        Outdated, ///< the source did not answer or is not current itself
+        Incomplete ///< a delta was rejected; the full state is requested next
+    };
+
+    Task<PollResult> pollSource(FleetMember source);
     void onUpdate();
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
     Task<void> waitForUpdate(Duration limit);
--- a/test/StateDeltaTest.cpp
+++ b/test/StateDeltaTest.cpp
@@ -183,7 +183,22 @@
 }
 
 class RevertedChangeTest : public testing::TestWithParam<RevertedChangeCase>
-{ };
+{
+protected:
+    /// \brief Lets one process skip a revision that the other one holds and the next one reverts.
+    void diverge()
+    {
+        GetParam().set(m_skipping, 5, 10);
+        GetParam().set(m_follower, 5, 10);
+        GetParam().set(m_follower, 4, 20);
+        GetParam().set(m_skipping, 5, 30);
+    }
+
+    StateRecorder m_skippingObserver;
+    StateRecorder m_followerObserver;
+    FleetState m_skipping{m_skippingObserver};
+    FleetState m_follower{m_followerObserver};
+};
 
 TEST_P(RevertedChangeTest, aProcessThatMissedTheReversalIsSentFullState)
 {
@@ -205,6 +220,27 @@
     EXPECT_FALSE(skipping.hasUpdates(follower.buildRequest(0ms)));
 }
 
+// Guards against a configuration that is late because a delta that could not be applied counted as
+// proof that the state is complete.
+TEST_P(RevertedChangeTest, aRejectedDeltaIsNotACompleteUpdate)
+{
+    diverge();
+    const auto reply
+        = [&] { return m_skipping.buildReply(m_follower.buildRequest(0ms), 0ms, start); };
+    EXPECT_FALSE(m_follower.apply(reply(), start));
+    EXPECT_TRUE(m_follower.apply(reply(), start));
+}
+
+// Guards against a process that requests the full state again and again although the registry
+// itself has sent it the update that a delta failed to bring.
+TEST_P(RevertedChangeTest, aRejectedDeltaIsForgottenOnceTheRegistrySendsTheUpdate)
+{
+    diverge();
+    synchronize(m_skipping, m_follower);
+    GetParam().set(m_follower, 5, 30);
+    EXPECT_FALSE(m_skipping.hasUpdates(m_follower.buildRequest(0ms)));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Parts, RevertedChangeTest,
     testing::Values(RevertedChangeCase{"configuration",
