Ignore changes of backend servers that are older than the state held

Cause: a process that watches the store and polls others at once gets each change twice. applyBackendChanges took every batch of its own watch, also one that another process had already sent together with later changes. A server that had left was then used again until the watch caught up, and the difference was passed on under the newer revision, where only the digest of the next delta would find it. Takeovers of the watch make the overlap common.

Change: a batch up to the revision held is ignored, as a reply of another process always was.

Evidence: FleetStateTest.aLateBatchOfChangesDoesNotReplaceNewerState fails on the code before.

--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -87,8 +87,11 @@
 void FleetState::applyBackendChanges(const std::vector<BackendChange> &changes,
                                      std::uint64_t revision)
 {
+    // A watch may report what another process has already sent.
+    if (revision <= m_backendRevision)
+        return;
     m_rejected.backends = false;
-    m_backendRevision = std::max(m_backendRevision, revision);
+    m_backendRevision = revision;
     for (const BackendChange &change : changes) {
         if (change.entry)
             m_entries[change.id] = *change.entry;
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -43,6 +43,7 @@
     /// \brief Replaces all backend servers by those at \a revision, unless a newer one is held.
     void setBackends(const std::vector<BackendEntry> &entries, std::uint64_t revision);
     /// \brief Applies changes, oldest first; \a revision is the registry's after the last one.
+    /// Ignores them if the state at that revision is already held.
     ///
     /// They are published as one update: when a whole index is repartitioned, hundreds of backend
     /// servers register within a second, and the cost of an update grows with the fleet.
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -222,6 +222,24 @@
     EXPECT_EQ(m_follower.configVersion(), 4U);
 }
 
+// Guards against requests to a backend server that has left: a process that watches the registry
+// and also polls others receives the same changes twice, the older ones last.
+TEST_F(FleetStateTest, aLateBatchOfChangesDoesNotReplaceNewerState)
+{
+    m_follower.setBackends({makeEntry("x")}, 10);
+    m_watcher.setBackends({makeEntry("x")}, 10);
+    m_watcher.applyBackendChanges({{"y", makeEntry("y")}}, 11);
+    m_watcher.applyBackendChanges({{"y", std::nullopt}}, 12);
+    synchronize();
+    m_followerObserver.updates.clear();
+    m_follower.applyBackendChanges({{"y", makeEntry("y")}}, 11);
+    EXPECT_EQ(m_followerObserver.updates, Updates{});
+    EXPECT_EQ(m_follower.backendRevision(), 12U);
+    m_watcher.applyBackendChanges({{"z", makeEntry("z")}}, 13);
+    synchronize();
+    EXPECT_EQ(m_followerObserver.updates, Updates{"has z"});
+}
+
 TEST_F(FleetStateTest, simultaneousRegistrationsArePublishedAsOneUpdate)
 {
     // When an index is repartitioned, the servers of all new shards start within a second or two.
