Limit what the HTTP parser does not limit: chunk headers, trailers, skipped responses

Cause: the parser limits header and body, but not the header of a chunk (its size and extensions) nor the trailer: the buffer grew as long as bytes came, up to the deadline of the request, on the side of backend servers and store as well as on that of callers. Interim responses and responses to other requests were skipped without end.

Change: bytes that the parser cannot use yet are limited like a header (431 for a caller); at most 16 responses are skipped before the one that is awaited. The loop over skipped responses replaces a recursion.

Two rows of GatewayBadRequestTest, endlessChunkExtension and endlessTrailer, failed without the change in CallerConnection (no answer within 10 s).

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -194,6 +194,11 @@
         dispatch();
         return;
     }
+    // The parser limits the header and the body, but not chunk headers and trailers.
+    if (m_buffer.size() > m_context.limits.maxHeaderBytes + readChunkBytes) {
+        rejectMalformed(http::error::header_limit);
+        return;
+    }
     if (m_parser->is_header_done())
         armTransferTimeout(buffered - m_buffer.size()); // a body may be long, but must not stall
     read();
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t readBytes = 8192; ///< per read; most shard responses fit
 constexpr std::size_t maxHeaderBytes = 32768;
+/// Interim responses and responses to earlier requests that may precede the response. A server may
+/// repeat an answer once or twice.
+constexpr int maxSkippedResponses = 16;
 
 // Detects a peer that vanished without a reset after about three seconds.
 constexpr int keepAliveIdleSeconds = 1;
@@ -117,6 +120,7 @@
     m_isHead = isHead;
     m_accepts = std::move(accepts);
     m_handler = std::move(handler);
+    m_skippedResponses = 0;
     resetParser();
     error_code failure;
     const std::size_t written = m_socket.send(asio::buffer(m_request), 0, failure);
@@ -177,7 +181,7 @@
     parse();
 }
 
-void ClientConnection::parse()
+bool ClientConnection::parseBuffer()
 {
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         error_code failure;
@@ -186,22 +190,40 @@
             break;
         if (failure) {
             fail({ErrorCode::Malformed, "bad_reply", failure.message()});
-            return;
+            return false;
         }
     }
-    if (!m_parser->is_done()) {
-        read();
-        return;
+    // The parser limits the header and the body, but not chunk headers and trailers.
+    if (!m_parser->is_done() && m_buffer.size() > maxHeaderBytes) {
+        fail({ErrorCode::Malformed, "bad_reply", "chunk header or trailer too long"});
+        return false;
     }
-    if (http::to_status_class(m_parser->get().result()) == http::status_class::informational) {
-        resetParser();
-        parse();
-        return;
-    }
-    if (m_accepts && !m_parser->need_eof() && !m_accepts(m_parser->get())) {
+    return true;
+}
+
+bool ClientConnection::isSkipped() const
+{
+    const auto status = http::to_status_class(m_parser->get().result());
+    return status == http::status_class::informational
+        || (m_accepts && !m_parser->need_eof() && !m_accepts(m_parser->get()));
+}
+
+void ClientConnection::parse()
+{
+    for (;;) {
+        if (!parseBuffer())
+            return;
+        if (!m_parser->is_done()) {
+            read();
+            return;
+        }
+        if (!isSkipped())
+            break;
+        if (++m_skippedResponses > maxSkippedResponses) {
+            fail({ErrorCode::Malformed, "bad_reply", "too many other responses"});
+            return;
+        }
         resetParser();
-        parse();
-        return;
     }
     finish();
 }
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -27,7 +27,8 @@
     /// \brief Called once, with a complete response or an error.
     ///
     /// Errors: Unavailable (no byte was sent), Unknown (the server may have run the request),
-    /// Malformed (the response is not valid HTTP; the server may have run the request).
+    /// Malformed (the response is not valid HTTP, too large or preceded by too many others; the
+    /// server may have run the request).
     using ResponseHandler = std::function<void(Outcome<WireResponse>)>;
     using ResponseFilter = std::function<bool(const WireResponse &)>;
     using ConnectHandler = std::function<void(Outcome<Done>)>;
@@ -72,6 +73,8 @@
     void read();
     void onRead(const boost::system::error_code &failure, std::size_t count);
     void parse();
+    bool parseBuffer();
+    bool isSkipped() const;
     void resetParser();
     void finish();
     void fail(const Error &error);
@@ -96,6 +99,7 @@
     bool m_isWriting = false;
     bool m_isHead = false;
     bool m_hasReceivedResponse = false;
+    int m_skippedResponses = 0; ///< since the request was sent
 };
 
 } // namespace gwt
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -90,6 +90,13 @@
         BadRequestCase{"bodyOverTheLimit", postHead + "Content-Length: 101\r\n\r\n", 413},
         BadRequestCase{"headerOverTheLimit",
                        postHead + "X-Long: " + std::string(2000, 'a') + "\r\n\r\n", 431},
+        BadRequestCase{"endlessChunkExtension",
+                       postHead + "Transfer-Encoding: chunked\r\n\r\n3;" + std::string(6000, 'a'),
+                       431},
+        BadRequestCase{
+            "endlessTrailer",
+            postHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: " + std::string(6000, 'a'),
+            431},
         BadRequestCase{"noId", "GET /one/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
         BadRequestCase{"noRoute", "GET /two/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n",
                        404}),
--- a/test/ScriptedServer.cpp
+++ b/test/ScriptedServer.cpp
@@ -95,8 +95,11 @@
 {
     const auto bytes = std::make_shared<const std::string>(reply.bytes);
     asio::async_write(session->socket, asio::buffer(*bytes),
-                      [session, bytes, closes = reply.closes](const error_code &, std::size_t) {
-                          if (!closes)
+                      [session, bytes, reply](const error_code &, std::size_t) {
+                          if (!reply.endless.empty())
+                              writeEndlessly(session,
+                                             std::make_shared<const std::string>(reply.endless));
+                          if (!reply.closes)
                               return;
                           error_code ignored;
                           session->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -104,6 +107,16 @@
                       });
 }
 
+void ScriptedServer::writeEndlessly(const std::shared_ptr<Session> &session,
+                                    const std::shared_ptr<const std::string> &bytes)
+{
+    asio::async_write(session->socket, asio::buffer(*bytes),
+                      [session, bytes](const error_code &failure, std::size_t) {
+                          if (!failure)
+                              writeEndlessly(session, bytes);
+                      });
+}
+
 std::string httpResponse(int status, const std::string &fields, const std::string &body)
 {
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields
--- a/test/ScriptedServer.h
+++ b/test/ScriptedServer.h
@@ -23,6 +23,7 @@
     std::string bytes; ///< written unchanged; empty: no response
     Duration delay{0};
     bool closes = false; ///< after the bytes
+    std::string endless = {}; ///< written after the bytes, again and again until the peer closes
 };
 
 /// \brief HTTP server on a loopback port that answers by a script and records the requests.
@@ -55,6 +56,8 @@
     void read(const std::shared_ptr<Session> &session);
     void answer(const std::shared_ptr<Session> &session, const ServerRequest &request);
     static void write(const std::shared_ptr<Session> &session, const ScriptedReply &reply);
+    static void writeEndlessly(const std::shared_ptr<Session> &session,
+                               const std::shared_ptr<const std::string> &bytes);
 
     TimerQueue &m_timers;
     Script m_script;
