Bound the memory for all replies that are being received

Cause: a body without end is cut off at 8 MB, on each connection by itself; 20 servers that send such bodies at once need more than the 160 MB of the smallest hosts, and a process over its limit is killed.

Change: all connections to backend servers share a budget of 32 MB for bodies that are being received, beyond the first 64 KB of each; a connection that gets no more is closed, and its request fails like any bad reply.

Evidence: EndlessBodiesTest: 40 connections with endless bodies of 1 MB each stay within 4 MB together. Four rows of GatewayFailureTest (endless header, body, trailer): the request is sent to the other server, if it may be, within 40 ms. These rows pass without the budget, too; the whole process was not measured.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -20,6 +20,9 @@
 /// time.
 constexpr Milliseconds deadlineMargin{15};
 constexpr std::size_t recordBytes = 16;
+/// Memory for replies that are being received, which backend servers may send without end: a fifth
+/// of the memory of a small host.
+constexpr std::size_t maxReplyBytes = 32U << 20U;
 /// Retry-After of a process that has just started and has no configuration yet.
 constexpr Milliseconds startupRetryAfter{200};
 
@@ -48,7 +51,9 @@
     , m_configAppliedAt(Clock::now())
     , m_fleetSize(m_options.assumedFleetSize)
     , m_registry(m_options.registryRecoveryGrace)
-    , m_backends(PoolContext{context, timers, headerNames, metrics, m_options.availabilityZone},
+    , m_replyBytes(maxReplyBytes)
+    , m_backends(PoolContext{context, timers, headerNames, metrics, m_options.availabilityZone,
+                             m_replyBytes},
                  m_options.retryBudget)
     , m_admission([] { return std::make_unique<AdaptiveAdmission>(); })
     , m_merge(recordBytes)
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -62,6 +62,7 @@
     bool m_hasBackends = false;
     int m_fleetSize;
     BackendRegistry m_registry;
+    ByteBudget m_replyBytes;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
     DeliveryTime m_delivery;
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -219,8 +219,9 @@
     if (server->connections() >= m_connectionShare)
         return;
     server->beginConnect();
-    auto connection = std::make_shared<ClientConnection>(
-        m_context.ioContext, m_context.timers, maxReplyBytes, ClientConnection::Probing::Off);
+    auto connection
+        = std::make_shared<ClientConnection>(m_context.ioContext, m_context.timers, maxReplyBytes,
+                                             ClientConnection::Probing::Off, &m_context.replyBytes);
     connection->connect(server->entry().address, connectTimeout,
                         [this, server, connection](const Outcome<Done> &outcome) {
                             server->endConnect();
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -20,6 +20,7 @@
     const HeaderNames &headerNames;
     Metrics &metrics;
     std::string availabilityZone; ///< of this process
+    ByteBudget &replyBytes; ///< for the bodies of all replies that are being received
 };
 
 /// \brief The backend servers of one service and the queue of attempts that wait for a connection.
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -64,11 +64,12 @@
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &context, TimerQueue &timers,
-                                   std::size_t maxBodyBytes, Probing probing)
+                                   std::size_t maxBodyBytes, Probing probing, ByteBudget *bodies)
     : m_socket(context)
     , m_timers(timers)
     , m_maxBodyBytes(maxBodyBytes)
     , m_probing(probing)
+    , m_body(bodies)
     , m_lastUsed(Clock::now())
 { }
 
@@ -106,6 +107,7 @@
 
 void ClientConnection::resetParser()
 {
+    m_body.reset();
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(maxHeaderBytes);
@@ -193,6 +195,11 @@
             return false;
         }
     }
+    const std::size_t bodyBytes = m_parser->get().body().size();
+    if (bodyBytes > s_freeBodyBytes && !m_body.tryGrowTo(bodyBytes)) {
+        fail({ErrorCode::Malformed, "bad_reply", "no memory for the body"});
+        return false;
+    }
     // The parser limits the header and the body, but not chunk headers and trailers.
     if (!m_parser->is_done() && m_buffer.size() > maxHeaderBytes) {
         fail({ErrorCode::Malformed, "bad_reply", "chunk header or trailer too long"});
@@ -232,6 +239,7 @@
 {
     WireResponse response = m_parser->release();
     m_parser.reset();
+    m_body.reset();
     m_lastUsed = Clock::now();
     m_hasReceivedResponse = true;
     const ResponseHandler handler = std::exchange(m_handler, nullptr);
@@ -279,6 +287,8 @@
 void ClientConnection::closeSocket()
 {
     m_isOpen = false;
+    m_parser.reset();
+    m_body.reset();
     error_code ignored;
     m_socket.close(ignored);
 }
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -3,6 +3,7 @@
 #include "common/Endpoint.h"
 #include "common/Outcome.h"
 #include "common/TimerQueue.h"
+#include "http/ByteBudget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -27,8 +28,8 @@
     /// \brief Called once, with a complete response or an error.
     ///
     /// Errors: Unavailable (no byte was sent), Unknown (the server may have run the request),
-    /// Malformed (the response is not valid HTTP, too large or preceded by too many others; the
-    /// server may have run the request).
+    /// Malformed (the response is not valid HTTP, too large or preceded by too many others, or the
+    /// budget for bodies is used up; the server may have run the request).
     using ResponseHandler = std::function<void(Outcome<WireResponse>)>;
     using ResponseFilter = std::function<bool(const WireResponse &)>;
     using ConnectHandler = std::function<void(Outcome<Done>)>;
@@ -41,8 +42,14 @@
     /// is unnecessary if all exchanges have short timeouts.
     enum class Probing { On, Off };
 
+    /// Part of a body that is not taken from the budget, so that ordinary responses are never
+    /// rejected for the sake of very large ones.
+    static constexpr std::size_t s_freeBodyBytes = 65536;
+
+    /// \brief \a bodies limits the bodies that are being received on several connections together;
+    /// null: no such limit.
     ClientConnection(boost::asio::io_context &context, TimerQueue &timers, std::size_t maxBodyBytes,
-                     Probing probing);
+                     Probing probing, ByteBudget *bodies = nullptr);
 
     /// \brief Connects to \a remote. Errors: Unavailable "connect_failed", "connect_timeout", or
     /// "connect_reset" (the server listens but accepts no further connection).
@@ -86,6 +93,7 @@
     TimerQueue &m_timers;
     const std::size_t m_maxBodyBytes;
     const Probing m_probing;
+    ByteReservation m_body;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_request;
--- a/test/EndlessReplyTest.cpp
+++ b/test/EndlessReplyTest.cpp
@@ -49,6 +49,39 @@
     server.closeAll();
 }
 
+// Guards against a process that runs out of memory because many servers send a body without end.
+TEST(EndlessBodiesTest, allConnectionsTogetherStayWithinTheBudget)
+{
+    constexpr std::size_t connectionCount = 40;
+    constexpr std::size_t budgetBytes = 4 * maxBodyBytes;
+    boost::asio::io_context context;
+    TimerQueue timers(context);
+    const ScriptedReply endless{"HTTP/1.1 200 OK\r\n\r\n", 0ms, false, std::string(4096, 'x')};
+    ScriptedServer server(context, timers, [&](const ServerRequest &) { return endless; });
+    ByteBudget budget(budgetBytes);
+    std::size_t largest = 0;
+    std::size_t failures = 0;
+    std::vector<std::shared_ptr<ClientConnection>> connections;
+    for (std::size_t i = 0; i < connectionCount; ++i) {
+        connections.push_back(std::make_shared<ClientConnection>(
+            context, timers, maxBodyBytes, ClientConnection::Probing::Off, &budget));
+        ClientConnection &connection = *connections.back();
+        connection.connect(server.endpoint(), 1s, [&](const Outcome<Done> &) {
+            connection.exchange(request, false, nullptr, [&](const Outcome<WireResponse> &outcome) {
+                failures += isOk(outcome) ? 0 : 1;
+            });
+        });
+    }
+    ASSERT_TRUE(runUntil(context, [&] {
+        largest = std::max(largest, budget.reserved());
+        return failures == connectionCount;
+    }));
+    EXPECT_GT(largest, budgetBytes / 2);
+    EXPECT_LE(largest, budgetBytes);
+    EXPECT_EQ(budget.reserved(), 0U);
+    server.closeAll();
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Places, EndlessReplyTest,
     testing::Values(
--- a/test/GatewayTest.cpp
+++ b/test/GatewayTest.cpp
@@ -216,6 +216,27 @@
             0},
         FailureCase{"noHttpIdempotent", {"\x01\x02garbage\r\n\r\n"}, true, 200, 1},
         FailureCase{"noHttpNonIdempotent", {"\x01\x02garbage\r\n\r\n"}, false, 502, 0},
+        FailureCase{
+            "endlessHeader", {"HTTP/1.1 200 OK\r\n", 0ms, false, "X-Long: a\r\n"}, true, 200, 1},
+        FailureCase{
+            "endlessBody",
+            {"HTTP/1.1 200 OK\r\n" + signatureField + "\r\n", 0ms, false, std::string(4096, 'x')},
+            true,
+            200,
+            1},
+        FailureCase{
+            "endlessBodyNonIdempotent",
+            {"HTTP/1.1 200 OK\r\n" + signatureField + "\r\n", 0ms, false, std::string(4096, 'x')},
+            false,
+            502,
+            0},
+        FailureCase{
+            "endlessTrailer",
+            {"HTTP/1.1 200 OK\r\n" + signatureField + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+             0ms, false, "X-Long: a\r\n"},
+            true,
+            200,
+            1},
         FailureCase{"silentNonIdempotent", {""}, false, 504, 0},
         FailureCase{"successWithoutSignatureNonIdempotent", {okResponse("x", "")}, false, 502, 0}),
     [](const auto &info) { return info.param.name; });
