--- a/test/EndlessReplyTest.cpp
+++ b/test/EndlessReplyTest.cpp
@@ -29,7 +29,7 @@
 // Guards against a caller whose memory grows, or whose time is lost, until its deadline.
 TEST_P(EndlessReplyTest, theConnectionIsClosedAndTheExchangeFails)
 {
-    const ScriptedReply reply{GetParam().start, 0ms, false, GetParam().endless};
+    ScriptedReply reply{GetParam().start, 0ms, false, GetParam().endless};
     ScriptedServer server(m_context, m_timers, [&](const ServerRequest &) { return reply; });
     const auto connection = std::make_shared<ClientConnection>(m_context, m_timers, maxBodyBytes,
                                                                ClientConnection::Probing::Off);
@@ -56,7 +56,7 @@
     constexpr std::size_t budgetBytes = 4 * maxBodyBytes;
     boost::asio::io_context context;
     TimerQueue timers(context);
-    const ScriptedReply endless{"HTTP/1.1 200 OK\r\n\r\n", 0ms, false, std::string(4096, 'x')};
+    ScriptedReply endless{"HTTP/1.1 200 OK\r\n\r\n", 0ms, false, std::string(4096, 'x')};
     ScriptedServer server(context, timers, [&](const ServerRequest &) { return endless; });
     ByteBudget budget(budgetBytes);
     std::size_t largest = 0;
--- a/test/GatewaySoakTest.cpp
+++ b/test/GatewaySoakTest.cpp
@@ -23,6 +23,26 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GatewaySoakTest, testing::Values(1, 2, 3));
 
+class StoreSilenceTest : public testing::TestWithParam<std::uint64_t>
+{ };
+
+// Guards against configurations that come late at gateways that nothing is wrong with, because the
+// store has fallen silent towards those that watch it.
+TEST_P(StoreSilenceTest, undisturbedGatewaysStayUpToDate)
+{
+    SoakOptions options;
+    options.seed = GetParam();
+    options.duration = 15s;
+    options.gateways = 6;
+    options.callers = 12;
+    options.faults = {"store mute to all gateways but one", "configuration changes"};
+    Soak soak(options);
+    EXPECT_EQ(soak.run(), std::vector<std::string>{}) << "logs: " << soak.folder();
+    EXPECT_GT(soak.findings().served, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StoreSilenceTest, testing::Values(1, 4));
+
 struct PlannedWork
 {
     std::string name;
--- a/test/soak/LoopbackProxy.cpp
+++ b/test/soak/LoopbackProxy.cpp
@@ -23,6 +23,7 @@
     asio::ip::tcp::socket caller;
     asio::ip::tcp::socket server;
     std::array<std::array<char, 16384>, 2> buffers{};
+    bool isMuted = false; ///< has lost a reply
 };
 
 LoopbackProxy::LoopbackProxy(asio::io_context &context, TimerQueue &timers, Endpoint target)
@@ -105,8 +106,9 @@
 
 void LoopbackProxy::forward(const std::shared_ptr<Link> &link, bool isReply, std::size_t count)
 {
-    const bool isSilent
-        = m_mode == Mode::SilencesAll || (m_mode == Mode::SilencesReplies && isReply);
+    link->isMuted = link->isMuted || (m_mode == Mode::MutesConnections && isReply);
+    const bool isSilent = m_mode == Mode::SilencesAll
+        || (isReply && (link->isMuted || m_mode == Mode::SilencesReplies));
     if (!isSilent) {
         auto &to = isReply ? link->caller : link->server;
         error_code ignored;
--- a/test/soak/LoopbackProxy.h
+++ b/test/soak/LoopbackProxy.h
@@ -19,6 +19,7 @@
         Delays, ///< delays each chunk of data by 80 ms
         SilencesReplies, ///< drops replies; requests still pass
         SilencesAll,
+        MutesConnections, ///< drops replies; connections that lose one stay open without any more
         Resets ///< resets open connections now, and new ones on accept
     };
 
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -14,6 +14,8 @@
 
 constexpr Milliseconds faultInterval{250}; ///< mean time between faults
 constexpr Milliseconds faultDuration{900}; ///< mean duration of a fault
+/// Duration of a fault that gateways must notice while it lasts: twice their update limit.
+constexpr Milliseconds longFaultDuration = 2 * SoakGateway::s_updateLimit;
 constexpr Milliseconds restartDelay{200};
 constexpr Milliseconds watchInterval{20};
 /// Expired entries have 2 s to be registered again, excluded members at most 8 s.
@@ -35,6 +37,7 @@
     {"store resets", &Soak::storeResets},
     {"store silent", &Soak::storeSilent},
     {"store cut from one gateway", &Soak::storeCut},
+    {"store mute to all gateways but one", &Soak::storeMute},
     {"backend slow", &Soak::backendSlow},
     {"backend full", &Soak::backendFull},
     {"backend fails", &Soak::backendFails},
@@ -122,6 +125,7 @@
     if (m_version >= versionBackends)
         return;
     ++m_version;
+    m_findings.publishedAt.push_back(Clock::now());
     json::array gather;
     json::array services;
     for (const std::string &shard : m_shards) {
@@ -172,9 +176,43 @@
     PlatformFaults faults;
     faults.*fault = true;
     m_platform.setFaults(faults);
+    for (const auto &gateway : m_gateways)
+        disturb(*gateway, 2 * faultDuration);
     atFaultEnd([this] { m_platform.setFaults({}); });
 }
 
+void Soak::disturb(SoakGateway &gateway, Duration duration)
+{
+    gateway.setDisturbedUntil(Clock::now() + duration);
+}
+
+void Soak::storeCut()
+{
+    const std::size_t number = m_random() % m_gateways.size();
+    disturb(*m_gateways[number], 2 * faultDuration);
+    injectProxyFault(*m_storeProxies[number]);
+}
+
+void Soak::storeMute()
+{
+    if (std::exchange(m_isStoreMute, true))
+        return;
+    const std::size_t spared = m_random() % m_gateways.size();
+    const auto setModes = [this, spared](LoopbackProxy::Mode mode) {
+        for (std::size_t i = 0; i < m_gateways.size(); ++i) {
+            if (i == spared)
+                continue;
+            disturb(*m_gateways[i], longFaultDuration);
+            m_storeProxies[i]->setMode(mode);
+        }
+    };
+    setModes(LoopbackProxy::Mode::MutesConnections);
+    m_timers.after(longFaultDuration, [this, setModes] {
+        setModes(LoopbackProxy::Mode::Passes);
+        m_isStoreMute = false;
+    });
+}
+
 void Soak::injectBackendFault(SoakBackend::Mode mode)
 {
     SoakBackend &backend = randomElement(m_backends);
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -62,13 +62,15 @@
     void injectStoreFault(bool PlatformFaults::*fault);
     void injectBackendFault(SoakBackend::Mode mode);
     void injectProxyFault(LoopbackProxy &proxy);
+    void disturb(SoakGateway &gateway, Duration duration);
     void checkExecutions();
     void checkRecovery();
 
     void storeUnavailable() { injectStoreFault(&PlatformFaults::isDown); }
     void storeResets() { injectStoreFault(&PlatformFaults::resets); }
     void storeSilent() { injectStoreFault(&PlatformFaults::isSilent); }
-    void storeCut() { injectProxyFault(randomElement(m_storeProxies)); }
+    void storeCut();
+    void storeMute();
     void backendSlow() { injectBackendFault(SoakBackend::Mode::Slow); }
     void backendFull() { injectBackendFault(SoakBackend::Mode::Full); }
     void backendFails() { injectBackendFault(SoakBackend::Mode::Fails); }
@@ -100,6 +102,7 @@
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     int m_version = 0;
     bool m_isInjectingFaults = true;
+    bool m_isStoreMute = false;
 };
 
 } // namespace gwt::test
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -18,6 +18,8 @@
 /// The caller disconnects if there is no response by shortly after the deadline.
 constexpr Milliseconds replyTimeout{1200};
 constexpr std::size_t topRecords = 5;
+/// Time without a fault after which a gateway has to be up to date.
+constexpr std::chrono::seconds settleTime{4};
 
 std::set<std::string> split(const std::string &text)
 {
@@ -89,6 +91,7 @@
 
 void SoakCaller::send()
 {
+    m_sentAt = Clock::now();
     const int kind = static_cast<int>(m_random() % KindCount);
     const std::string id
         = m_name + (kind == Unsafe ? unsafeIdMarker : "-") + std::to_string(++m_number);
@@ -171,6 +174,22 @@
                             + std::to_string(m_lastVersion),
                         signature);
     m_lastVersion = version;
+    checkDelay(static_cast<std::size_t>(version));
+}
+
+void SoakCaller::checkDelay(std::size_t version)
+{
+    const bool isNewest = version >= m_findings.publishedAt.size();
+    if (isNewest || m_sentAt < m_gateway.disturbedUntil() + settleTime)
+        return;
+    const auto delay
+        = std::chrono::duration_cast<Milliseconds>(m_sentAt - m_findings.publishedAt[version]);
+    m_findings.longestDelay = std::max(m_findings.longestDelay, delay);
+    if (delay > SoakGateway::s_updateLimit) {
+        reportViolation("version " + std::to_string(version + 1) + " was not in force after "
+                            + std::to_string(delay.count()) + " ms",
+                        m_name);
+    }
 }
 
 } // namespace gwt::test
--- a/test/soak/SoakCaller.h
+++ b/test/soak/SoakCaller.h
@@ -19,6 +19,8 @@
     int served = 0;
     int refusals = 0;
     std::vector<std::string> failures; ///< requests without a valid response, with the reason
+    std::vector<TimePoint> publishedAt; ///< of configuration version 1 and up
+    Milliseconds longestDelay{0}; ///< of a configuration at undisturbed gateways
 };
 
 /// \brief Caller that sends requests over one connection until the gateway closes it, and checks
@@ -44,6 +46,7 @@
     void checkSingle(const std::string &id, const WireResponse &response);
     void checkQuery(const std::string &id, const WireResponse &response);
     void checkVersion(const WireResponse &response);
+    void checkDelay(std::size_t version);
     void recordFailure(const std::string &id, const std::string &reason);
     void reportViolation(const std::string &what, const std::string &id);
 
@@ -56,6 +59,7 @@
     SoakFindings &m_findings;
     std::shared_ptr<ClientConnection> m_connection;
     TimerQueue::Id m_replyTimer;
+    TimePoint m_sentAt;
     int m_number = 0;
     int m_lastVersion = 0;
     int m_startsAtConnect = 0;
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -62,10 +62,10 @@
                                   << "\nready = " << quoted(m_readiness)
                                   << "\ncontrolPlane = " << quoted(m_peer)
                                   << "\n[bounds]\ngraceS = 6\ndrainMs = 3000\n"
-                                     "configApplyMs = 3000\n"
                                      "retryBudgetRatio = 0.2\nbudgetWindowS = 10\n"
                                      "retryBudgetExtra = "
-                                  << extraRepeats << "\n[platform]\naddress = " << quoted(m_store)
+                                  << extraRepeats << "\nconfigApplyMs = " << s_updateLimit.count()
+                                  << "\n[platform]\naddress = " << quoted(m_store)
                                   << "\nreadsPerS = 2000\n";
 }
 
@@ -84,6 +84,7 @@
 void SoakGateway::start(const std::vector<Endpoint> &seeds)
 {
     m_seeds = seeds;
+    setDisturbedUntil(Clock::now());
     writeSettings();
     const std::string log = m_folder + "/" + m_name + ".log";
     posix_spawn_file_actions_t actions;
@@ -104,13 +105,14 @@
     ++m_starts;
 }
 
-void SoakGateway::signal(int number) const
+void SoakGateway::signal(int number)
 {
+    setDisturbedUntil(Clock::now());
     if (m_pid > 0)
         ::kill(m_pid, number);
 }
 
-void SoakGateway::signalIfHandled(int number) const
+void SoakGateway::signalIfHandled(int number)
 {
     if (((handledSignals(m_pid) >> (number - 1)) & 1U) != 0)
         signal(number);
--- a/test/soak/SoakGateway.h
+++ b/test/soak/SoakGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Endpoint.h"
+#include "common/Time.h"
 
 #include <sys/types.h>
 
@@ -14,6 +15,9 @@
 class SoakGateway
 {
 public:
+    /// Time within which a configuration must be in force; in the settings.
+    static constexpr Milliseconds s_updateLimit{3000};
+
     /// \brief \a number identifies the gateway within one soak.
     SoakGateway(std::string folder, int number, Endpoint store);
     ~SoakGateway();
@@ -26,11 +30,14 @@
     Endpoint peer() const { return m_peer; }
     /// \brief Writes the settings, with \a seeds, and starts the process.
     void start(const std::vector<Endpoint> &seeds);
-    void signal(int number) const;
+    void signal(int number);
     /// \brief Changes the settings and signals the process to reload them.
     void reload();
     /// \brief Asks the process to stop.
     void stop();
+    /// \brief Records that a fault affects this gateway until \a end.
+    void setDisturbedUntil(TimePoint end) { m_disturbedUntil = std::max(m_disturbedUntil, end); }
+    TimePoint disturbedUntil() const { return m_disturbedUntil; }
     bool isRunning() const { return m_pid > 0; }
     /// \brief Number of starts so far; identifies the incarnation.
     int starts() const { return m_starts; }
@@ -41,7 +48,7 @@
 private:
     /// \brief Signals unless the process still has the default action for \a number, as before its
     /// main() runs; then the signal would kill it before it can install its handlers.
-    void signalIfHandled(int number) const;
+    void signalIfHandled(int number);
     std::string settingsPath() const { return m_folder + "/" + m_name + ".toml"; }
     void writeSettings() const;
 
@@ -55,6 +62,7 @@
     pid_t m_pid = 0;
     int m_starts = 0;
     int m_reloads = 0;
+    TimePoint m_disturbedUntil = Clock::now();
 };
 
 } // namespace gwt::test
--- a/test/soak/gwt-soak.cpp
+++ b/test/soak/gwt-soak.cpp
@@ -48,7 +48,8 @@
         const std::vector<std::string> violations = soak.run();
         const gwt::test::SoakFindings &findings = soak.findings();
         std::cout << "seed " << options.seed << ": served " << findings.served << ", refused "
-                  << findings.refusals << ", failed " << findings.failures.size() << ", broken "
+                  << findings.refusals << ", failed " << findings.failures.size()
+                  << ", longest delay " << findings.longestDelay.count() << " ms, broken "
                   << violations.size() << std::endl;
         for (std::size_t i = 0; i < std::min(findings.failures.size(), shownFailures); ++i)
             std::cout << "  " << findings.failures[i] << "\n";
