--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -200,7 +200,9 @@
         m_staleAfter = m_options.limits.staleAfter(std::max(1, m_tree.hops(now)));
         const bool isWatcher = m_tree.isWatcher(now);
         // Without a current source, this process follows the registry until there is one.
-        setWatching(isWatcher || now >= takeoverAt(), isWatcher ? "order" : "stale");
+        const bool isStale = now >= takeoverAt();
+        const char *reason = isStale ? "stale" : "current";
+        setWatching(isWatcher || isStale, isWatcher ? "order" : reason);
         logFreshness(now);
         if (candidates.empty()) {
             co_await sleepFor(watchCheckInterval);
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -43,14 +43,14 @@
     bool isWatching() const { return m_isWatching; }
 
 private:
-    Task<void> run();
-    Task<void> reapMembers();
     enum class PollResult {
         Current, ///< the source is current
         Outdated, ///< the source did not answer or is not current itself
         Incomplete ///< a delta was rejected; the full state is requested next
     };
 
+    Task<void> run();
+    Task<void> reapMembers();
     Task<PollResult> pollSource(FleetMember source);
     void onUpdate();
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
