Soak: backend servers that send without end

Change: fault "backend never ends replies": a header, a body without length or a trailer without end. The loopback proxy writes asynchronously, since a sender without end would block the soak while a gateway is paused.

--- a/test/soak/LoopbackProxy.cpp
+++ b/test/soak/LoopbackProxy.cpp
@@ -109,12 +109,15 @@
     link->isMuted = link->isMuted || (m_mode == Mode::MutesConnections && isReply);
     const bool isSilent = m_mode == Mode::SilencesAll
         || (isReply && (link->isMuted || m_mode == Mode::SilencesReplies));
-    if (!isSilent) {
-        auto &to = isReply ? link->caller : link->server;
-        error_code ignored;
-        asio::write(to, asio::buffer(link->buffers.at(isReply ? 1 : 0).data(), count), ignored);
+    if (isSilent) {
+        pump(link, isReply);
+        return;
     }
-    pump(link, isReply);
+    // Asynchronous, since the receiver may be stopped and the sender endless.
+    auto &to = isReply ? link->caller : link->server;
+    asio::async_write(
+        to, asio::buffer(link->buffers.at(isReply ? 1 : 0).data(), count),
+        [this, link, isReply](const error_code &, std::size_t) { pump(link, isReply); });
 }
 
 } // namespace gwt::test
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -43,6 +43,7 @@
     {"backend fails", &Soak::backendFails},
     {"backend loses replies", &Soak::backendLosesReplies},
     {"backend repeats replies", &Soak::backendRepeatsReplies},
+    {"backend never ends replies", &Soak::backendNeverEnds},
     {"backend cut", &Soak::backendCut},
     {"backend leaves", &Soak::backendLeaves},
     {"gateway killed", &Soak::gatewayKilled},
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -76,6 +76,7 @@
     void backendFails() { injectBackendFault(SoakBackend::Mode::Fails); }
     void backendLosesReplies() { injectBackendFault(SoakBackend::Mode::LosesReplies); }
     void backendRepeatsReplies() { injectBackendFault(SoakBackend::Mode::RepeatsReplies); }
+    void backendNeverEnds() { injectBackendFault(SoakBackend::Mode::NeverEndsReplies); }
     void backendCut() { injectProxyFault(randomElement(m_backends).proxy()); }
     void backendLeaves();
     void gatewayKilled() { randomElement(m_gateways).signal(SIGKILL); }
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -1,5 +1,7 @@
 #include "SoakBackend.h"
 
+#include <array>
+
 namespace gwt::test {
 
 namespace {
@@ -34,6 +36,18 @@
     return "signed." + service + "." + id;
 }
 
+ScriptedReply SoakBackend::endlessReply(const std::string &fields)
+{
+    const std::string filler(512, 'x');
+    const std::string start = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::array<ScriptedReply, 3> replies{
+        ScriptedReply{start, Duration::zero(), false, "X-Filler: " + filler + "\r\n"},
+        ScriptedReply{start + "\r\n", Duration::zero(), false, filler},
+        ScriptedReply{start + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Duration::zero(), false,
+                      "X-Filler: " + filler + "\r\n"}};
+    return replies.at(m_random() % replies.size());
+}
+
 ScriptedReply SoakBackend::answer(const ServerRequest &request)
 {
     const std::string id(request["X-Request-Id"]);
@@ -55,6 +69,8 @@
         return {"", work, true};
     case Mode::RepeatsReplies:
         return {good + good, work};
+    case Mode::NeverEndsReplies:
+        return endlessReply(fields);
     case Mode::Serves:
     case Mode::Full:
         break;
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -23,7 +23,8 @@
         Full, ///< refuses without executing the request
         Fails, ///< executes the request and answers 500
         LosesReplies, ///< executes the request and closes the connection without a reply
-        RepeatsReplies ///< sends each reply twice
+        RepeatsReplies, ///< sends each reply twice
+        NeverEndsReplies ///< sends a header, a body or a trailer until the caller closes
     };
 
     SoakBackend(boost::asio::io_context &context, TimerQueue &timers, std::string service,
@@ -41,6 +42,7 @@
     static std::string signature(const std::string &service, const std::string &id);
 
 private:
+    ScriptedReply endlessReply(const std::string &fields);
     ScriptedReply answer(const ServerRequest &request);
 
     const std::string m_service;
