BookingLateCopyTest: wait until the daemons know each other

In the run whose logs were kept, booking@host-2 was ready at 19.018, the two others at 19.083 and 19.089; the first booking came at 19.143, before the membership had passed their readiness on. With one ready member, host 2 was the preferred holder of every range and acquired all of them (range_acquired of all 24 keys, 19.143 to 19.245), so the paused host 3 held none.

Ruled out: a fault of the product. A single ready member has to hold all ranges, and gives them up 8 rounds (2 s) after another one is preferred; no late copy existed that could run.

The test now waits, as GracefulShutdownTest and OwnerGapTest do, until the entry and the other booking daemons see all 9 daemons ready. No check or bound is changed.

--- a/test/BookingFaultTest.cpp
+++ b/test/BookingFaultTest.cpp
@@ -17,6 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr int hosts = 3;
+constexpr int daemonsPerHost = 3;
 constexpr int clients = 4;
 constexpr int bookingsOfClient = 30;
 constexpr Milliseconds bookingInterval{60};
@@ -321,6 +322,9 @@
     constexpr int keys = 12;
     ProcessFleet fleet{ProcessFleetOptions{}};
     ASSERT_TRUE(fleet.start());
+    // A daemon that is ready first would hold all ranges as long as it knows no other one.
+    for (const char *observer : {"entry-1", "booking-1", "booking-2"})
+        ASSERT_TRUE(fleet.waitForReadyMembers(observer, daemonsPerHost * hosts)) << observer;
     // Opens the sessions in advance: on a new one a call first waits for the holder's handshake.
     for (int number = 0; number < keys; ++number)
         fleet.book(1, "early-" + std::to_string(number));
