Send nothing to backend servers that state that they want no requests

Seen: a server whose answers say Server-Leaving went on receiving requests for as long as the registry did not say so too (a store that is out, a host that is cut off, a lagging peer), and one that answered 503 with Retry-After got requests again within a fraction of a second, as only its failure rate counted.

Cause: neither field was read anywhere. The failure rate of BackendScore halves every 0.7 s, and processes that learned of a departure from the registry alone are as late as the registry.

Change: BackendHold (no sockets, no clock) keeps for each instance that it leaves, or until when it wants no requests; HoldTracker reads both fields from the head of a response, before its body is complete, ignores what another instance or an answer to another request says, and logs start and end. The hold is checked when a request is sent, so that queued requests, hedges, retries and new connections obey it. HoldMemory keeps holds of instances whose registration disappears, as it may come back. If no server is left, the request is refused at once, with a Retry-After that follows from the holds. To keep ServicePool short, ServerConnector opens the connections and makeReply() interprets replies, unchanged.

ServiceCall no longer waits 15 ms for a second try if no server can be free by then.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -52,8 +52,9 @@
     , m_fleetSize(m_options.assumedFleetSize)
     , m_registry(m_options.registryRecoveryGrace)
     , m_replyBytes(maxReplyBytes)
+    , m_holds(headerNames, metrics)
     , m_backends(PoolContext{context, timers, headerNames, metrics, m_options.availabilityZone,
-                             m_replyBytes},
+                             m_replyBytes, m_holds},
                  m_options.retryBudget)
     , m_admission([] { return std::make_unique<AdaptiveAdmission>(); })
     , m_merge(recordBytes)
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -63,6 +63,7 @@
     int m_fleetSize;
     BackendRegistry m_registry;
     ByteBudget m_replyBytes;
+    HoldTracker m_holds;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
     DeliveryTime m_delivery;
--- /dev/null
+++ b/src/gateway/backends/BackendAttempt.cpp
@@ -0,0 +1,43 @@
+#include "gateway/backends/BackendAttempt.h"
+
+#include "gateway/backends/BackendServer.h"
+
+namespace gwt {
+
+namespace http = boost::beast::http;
+
+AttemptReply makeReply(const BackendAttempt &attempt, Outcome<WireResponse> outcome,
+                       const HeaderNames &names, TimePoint now)
+{
+    AttemptReply reply;
+    reply.backendId = attempt.server->entry().id;
+    reply.elapsed = now - attempt.sentAt;
+    if (!isOk(outcome)) {
+        const Error &error = errorOf(outcome);
+        reply.result = error.code == ErrorCode::Unavailable ? AttemptResult::NotSent
+                                                            : AttemptResult::Unknown;
+        reply.reason = error.reason;
+        return reply;
+    }
+    WireResponse &response = valueOf(outcome);
+    const bool isMisdirected = response.result() == http::status::misdirected_request;
+    if (isMisdirected || response.count(names.notRun) > 0) {
+        reply.result = AttemptResult::NotRun;
+        reply.reason = isMisdirected ? misdirectedReason : "refused_by_backend";
+    } else {
+        reply.result = AttemptResult::Answered;
+    }
+    reply.response = std::move(response);
+    return reply;
+}
+
+SendResult sendResultOf(const AttemptReply &reply)
+{
+    if (reply.result == AttemptResult::NotRun)
+        return SendResult::Refused;
+    const bool isServed = reply.result == AttemptResult::Answered
+        && http::to_status_class(reply.response->result()) != http::status_class::server_error;
+    return isServed ? SendResult::Served : SendResult::Failed;
+}
+
+} // namespace gwt
--- a/src/gateway/backends/BackendAttempt.h
+++ b/src/gateway/backends/BackendAttempt.h
@@ -2,7 +2,9 @@
 
 #include "common/TimerQueue.h"
 #include "gateway/backends/BackendEntry.h"
+#include "gateway/backends/BackendScore.h"
 #include "gateway/forwarding/ForwardRequest.h"
+#include "gateway/forwarding/HeaderNames.h"
 #include "http/ClientConnection.h"
 
 #include <functional>
@@ -27,6 +29,8 @@
 inline constexpr const char *waitExpiredReason = "wait_expired";
 /// Reason of an attempt that was rejected because its expected wait left no time for an answer.
 inline constexpr const char *queueTooLongReason = "queue_too_long";
+/// Reason of an attempt that reached another instance than the one it was sent to.
+inline constexpr const char *misdirectedReason = "misdirected";
 
 /// \brief How an attempt ended, with the response if there is one.
 struct AttemptReply
@@ -67,4 +71,10 @@
     bool isEnded = false;
 };
 
+/// \brief Interprets the end of the exchange of \a attempt, which was sent.
+AttemptReply makeReply(const BackendAttempt &attempt, Outcome<WireResponse> outcome,
+                       const HeaderNames &names, TimePoint now);
+/// \brief What \a reply of a sent attempt says about the health of its server.
+SendResult sendResultOf(const AttemptReply &reply);
+
 } // namespace gwt
--- a/src/gateway/backends/BackendFleet.cpp
+++ b/src/gateway/backends/BackendFleet.cpp
@@ -55,6 +55,25 @@
         pool->budget().setRules(rules);
 }
 
+std::optional<TimePoint> BackendFleet::nextHoldEnd(const std::vector<std::string> &services,
+                                                   std::size_t needed, TimePoint now)
+{
+    std::size_t available = 0;
+    std::vector<TimePoint> ends;
+    for (const std::string &service : services) {
+        const ServicePool &servicePool = pool(service);
+        if (servicePool.hasServer(now))
+            ++available;
+        else if (const auto end = servicePool.nextHoldEnd(now))
+            ends.push_back(*end);
+    }
+    if (available >= needed || available + ends.size() < needed)
+        return std::nullopt;
+    const auto last = ends.begin() + static_cast<std::ptrdiff_t>(needed - available - 1);
+    std::nth_element(ends.begin(), last, ends.end());
+    return *last;
+}
+
 std::size_t BackendFleet::usableServers() const
 {
     std::size_t usable = 0;
--- a/src/gateway/backends/BackendFleet.h
+++ b/src/gateway/backends/BackendFleet.h
@@ -25,6 +25,10 @@
     /// \brief Applies the connection limits of \a routes, divided among \a fleetSize processes.
     void setConnectionLimits(const RouteTable &routes, int fleetSize);
     void setRetryBudgetRules(RetryBudgetRules rules);
+    /// \brief When \a needed of \a services will have a server that accepts requests, if that only
+    /// depends on holds of limited duration; nullopt if it is unknown, or the case already.
+    std::optional<TimePoint> nextHoldEnd(const std::vector<std::string> &services,
+                                         std::size_t needed, TimePoint now);
     /// \brief Number of backend servers that can take work, over all services.
     std::size_t usableServers() const;
     /// \brief Number of attempts that have not ended, over all services.
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/backends/BackendEntry.h"
+#include "gateway/backends/BackendHold.h"
 #include "gateway/backends/BackendScore.h"
 #include "http/ClientConnection.h"
 
@@ -22,10 +23,18 @@
     void setEntry(const BackendEntry &entry) { m_entry = entry; }
     /// \brief Stops new work: the server is leaving or gone, or its address belongs to another one.
     void retire() { m_isRetired = true; }
-    bool isUsable() const { return !m_isRetired && !m_entry.isDraining; }
+    bool isUsable() const { return !m_isRetired && !m_entry.isDraining && !m_hold.isLeaving(); }
+
+    /// \brief True if requests may be sent at \a now, unless too many others are in flight.
+    bool acceptsWork(TimePoint now) const
+    {
+        return isUsable() && !m_hold.isActive(now) && !m_score.isInBackoff(now);
+    }
 
     BackendScore &score() { return m_score; }
     const BackendScore &score() const { return m_score; }
+    BackendHold &hold() { return m_hold; }
+    const BackendHold &hold() const { return m_hold; }
 
     /// \brief Returns the most recently used idle connection, or null.
     ///
@@ -56,6 +65,7 @@
 private:
     BackendEntry m_entry;
     BackendScore m_score;
+    BackendHold m_hold;
     std::vector<std::shared_ptr<ClientConnection>> m_connections;
     std::multiset<TimePoint> m_sentTimes;
     int m_pendingConnects = 0;
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -3,17 +3,14 @@
 #include "common/Log.h"
 #include "gateway/policy/QueueWait.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace gwt {
 
-namespace http = boost::beast::http;
-
 namespace {
 
-constexpr std::size_t maxReplyBytes = 8U << 20U;
-/// Covers round trip, handshake and the server's accept; after it the server counts as unreachable.
-constexpr Milliseconds connectTimeout{300};
 /// Added to the expected latency at a server that needs a new connection: the handshake takes a
 /// slot.
 constexpr Milliseconds connectCost{8};
@@ -29,6 +26,7 @@
     : m_context(context)
     , m_service(std::move(service))
     , m_budget(budget)
+    , m_connector(context, m_service, [this] { dispatch(); })
 { }
 
 void ServicePool::setServer(const BackendEntry &entry)
@@ -39,11 +37,10 @@
     if (isSame) {
         server->setEntry(entry);
     } else {
-        if (server) {
-            server->retire();
-            server->closeIdleConnections();
-        }
+        if (server)
+            removeInstance(*server);
         server = std::make_shared<BackendServer>(entry);
+        m_context.holds.restore(*server);
     }
     if (entry.isDraining)
         server->closeIdleConnections();
@@ -55,16 +52,26 @@
     const auto server = m_servers.find(id);
     if (server == m_servers.end())
         return;
-    server->second->retire();
-    server->second->closeIdleConnections();
+    removeInstance(*server->second);
     m_servers.erase(server);
     dispatch();
 }
 
+void ServicePool::removeInstance(BackendServer &server)
+{
+    const TimePoint now = Clock::now();
+    const HoldReason reason = server.hold().reason(now);
+    if (reason != HoldReason::None)
+        m_context.holds.logEnd(m_service, server, reason, "gone", now);
+    m_context.holds.retain(server, now);
+    server.retire();
+    server.closeIdleConnections();
+}
+
 bool ServicePool::isCandidate(const BackendServer &server, const std::vector<std::string> &excluded,
                               TimePoint now) const
 {
-    return server.isUsable() && !server.score().isInBackoff(now)
+    return server.acceptsWork(now)
         && std::find(excluded.begin(), excluded.end(), server.entry().id) == excluded.end();
 }
 
@@ -74,6 +81,19 @@
                        [&](const auto &each) { return isCandidate(*each.second, excluded, now); });
 }
 
+std::optional<TimePoint> ServicePool::nextHoldEnd(TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, server] : m_servers) {
+        if (server->acceptsWork(now))
+            return std::nullopt;
+        const TimePoint end = server->hold().until();
+        if (server->isUsable() && end > now)
+            next = std::min(next.value_or(end), end);
+    }
+    return next;
+}
+
 bool ServicePool::isCandidate(const BackendServer &server, const BackendAttempt &attempt,
                               TimePoint now) const
 {
@@ -159,7 +179,7 @@
         }
         if (choice.server
             && ++neededConnections[choice.server.get()] > choice.server->pendingConnects())
-            openConnection(choice.server);
+            m_connector.open(choice.server, m_connectionShare);
         ++it;
     }
     m_isDispatching = false;
@@ -177,7 +197,8 @@
     const Duration maxIdle
         = attempt.isIdempotent ? Duration::max() : Duration(maxIdleNonIdempotent);
     for (const auto &[id, server] : m_servers) {
-        if (!isCandidate(*server, attempt, now))
+        if (!isCandidate(*server, attempt, now)
+            || !server->hold().mayReceive(server->inFlight(), now))
             continue;
         auto connection = server->idleConnection(now, maxIdle);
         const bool mayOpen = server->pendingConnects() > 0
@@ -214,66 +235,6 @@
     return least;
 }
 
-void ServicePool::openConnection(const std::shared_ptr<BackendServer> &server)
-{
-    if (server->connections() >= m_connectionShare)
-        return;
-    server->beginConnect();
-    auto connection
-        = std::make_shared<ClientConnection>(m_context.ioContext, m_context.timers, maxReplyBytes,
-                                             ClientConnection::Probing::Off, &m_context.replyBytes);
-    connection->connect(server->entry().address, connectTimeout,
-                        [this, server, connection](const Outcome<Done> &outcome) {
-                            server->endConnect();
-                            if (isOk(outcome))
-                                onConnected(server, connection);
-                            else
-                                onConnectFailed(server, errorOf(outcome));
-                            if (!server->isUsable())
-                                server->closeIdleConnections();
-                            dispatch();
-                        });
-}
-
-void ServicePool::onConnected(const std::shared_ptr<BackendServer> &server,
-                              const std::shared_ptr<ClientConnection> &connection)
-{
-    server->addConnection(connection);
-    connection->onIdleClose([this, weak = std::weak_ptr(server), raw = connection.get()] {
-        const auto owner = weak.lock();
-        if (!owner)
-            return;
-        if (!raw->hasReceivedResponse())
-            backOffConnects(owner);
-        owner->removeConnection(raw);
-    });
-}
-
-void ServicePool::onConnectFailed(const std::shared_ptr<BackendServer> &server, const Error &error)
-{
-    if (error.reason == "connect_reset") {
-        backOffConnects(server);
-        return;
-    }
-    server->score().record(SendResult::Unreachable, Duration::zero(), Duration::zero(),
-                           Clock::now());
-    logInfo("backend_unreachable",
-            {{"service", m_service},
-             {"backend", server->entry().id},
-             {"reason", error.reason},
-             {"detail", error.detail}});
-}
-
-void ServicePool::backOffConnects(const std::shared_ptr<BackendServer> &server)
-{
-    server->backOffConnects(Clock::now());
-    m_context.metrics
-        .counter("gwt_gateway_connects_held_total",
-                 "Connections that a backend server at its limit did not take")
-        .Increment();
-    m_context.timers.at(server->connectBackoffUntil(), [this] { dispatch(); });
-}
-
 void ServicePool::send(const std::shared_ptr<BackendAttempt> &attempt, const Choice &choice,
                        TimePoint now)
 {
@@ -283,64 +244,72 @@
     m_context.timers.cancel(attempt->queueTimer);
     choice.server->beginAttempt(now);
     const auto left = std::chrono::duration_cast<Milliseconds>(attempt->deadline - now);
-    auto accepts = [attempt, &names = m_context.headerNames](const WireResponse &response) {
-        const auto id = response.find(names.requestId);
-        return id == response.end() || id->value() == attempt->request->id();
-    };
+    auto onHead
+        = [this, attempt](const WireResponse &head) { return onResponseHead(attempt, head); };
     choice.connection->exchange(
         attempt->request->serialize(left, choice.server->entry().id),
-        attempt->request->isHeadRequest(), std::move(accepts),
+        attempt->request->isHeadRequest(), std::move(onHead),
         [this, attempt](Outcome<WireResponse> outcome) { onReply(attempt, std::move(outcome)); });
 }
 
-AttemptReply ServicePool::interpret(const BackendAttempt &attempt,
-                                    Outcome<WireResponse> &outcome) const
+bool ServicePool::onResponseHead(const std::shared_ptr<BackendAttempt> &attempt,
+                                 const WireResponse &head)
 {
-    AttemptReply reply;
-    reply.backendId = attempt.server->entry().id;
-    if (!isOk(outcome)) {
-        const Error &error = errorOf(outcome);
-        reply.result = error.code == ErrorCode::Unavailable ? AttemptResult::NotSent
-                                                            : AttemptResult::Unknown;
-        reply.reason = error.reason;
-        return reply;
-    }
-    WireResponse &response = valueOf(outcome);
-    const bool isMisdirected = response.result() == http::status::misdirected_request;
-    if (isMisdirected || response.count(m_context.headerNames.notRun) > 0) {
-        reply.result = AttemptResult::NotRun;
-        reply.reason = isMisdirected ? "misdirected" : "refused_by_backend";
-    } else {
-        reply.result = AttemptResult::Answered;
+    const auto id = head.find(m_context.headerNames.requestId);
+    if (id != head.end() && id->value() != attempt->request->id())
+        return false;
+    const TimePoint now = Clock::now();
+    const auto until
+        = m_context.holds.record(m_service, *attempt->server, head, attempt->request->id(), now);
+    if (until)
+        startHold(attempt->server, *until, now);
+    return true;
+}
+
+void ServicePool::startHold(const std::shared_ptr<BackendServer> &server, TimePoint until,
+                            TimePoint now)
+{
+    const auto registered = m_servers.find(server->entry().id);
+    if (registered == m_servers.end() || registered->second != server) {
+        // The instance may be registered again, or already be.
+        m_context.holds.retain(*server, now);
+        if (registered != m_servers.end())
+            m_context.holds.restore(*registered->second);
     }
-    reply.response = std::move(response);
-    return reply;
+    // Queued attempts may have no server left. The connection of the response must not be closed
+    // while it parses.
+    boost::asio::post(m_context.ioContext, [this] { dispatch(); });
+    if (until == TimePoint::max())
+        return;
+    m_context.timers.at(until, [this, server] {
+        const TimePoint end = Clock::now();
+        if (server->hold().isActive(end))
+            return;
+        m_context.holds.logEnd(m_service, *server, HoldReason::Shedding, "time", end);
+        dispatch();
+    });
 }
 
 void ServicePool::onReply(const std::shared_ptr<BackendAttempt> &attempt,
                           Outcome<WireResponse> outcome)
 {
     const TimePoint now = Clock::now();
-    AttemptReply reply = interpret(*attempt, outcome);
-    reply.elapsed = now - attempt->sentAt;
+    AttemptReply reply = makeReply(*attempt, std::move(outcome), m_context.headerNames, now);
     BackendServer &server = *attempt->server;
     if (reply.response)
         server.resetConnectBackoff();
-    const bool isServed = reply.result == AttemptResult::Answered
-        && http::to_status_class(reply.response->result()) != http::status_class::server_error;
-    SendResult result = isServed ? SendResult::Served : SendResult::Failed;
-    if (reply.result == AttemptResult::NotRun)
-        result = SendResult::Refused;
+    if (reply.result == AttemptResult::Answered)
+        server.hold().recordServed(attempt->sentAt);
     reply.isAtConnectionLimit = reply.result == AttemptResult::Unknown
         && reply.reason == "connection_lost" && !attempt->connection->hasReceivedResponse();
     if (reply.isAtConnectionLimit)
-        backOffConnects(attempt->server);
-    if (reply.reason == "misdirected") {
+        m_connector.backOff(*attempt->server);
+    if (reply.reason == misdirectedReason) {
         logInfo("backend_misdirected", {{"service", m_service}, {"backend", server.entry().id}});
         server.retire();
     }
     if (!reply.isAtConnectionLimit)
-        server.score().record(result, reply.elapsed, attempt->typicalLatency, now);
+        server.score().record(sendResultOf(reply), reply.elapsed, attempt->typicalLatency, now);
     finish(attempt, std::move(reply));
 }
 
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -3,6 +3,8 @@
 #include "common/Metrics.h"
 #include "gateway/backends/BackendAttempt.h"
 #include "gateway/backends/BackendServer.h"
+#include "gateway/backends/PoolContext.h"
+#include "gateway/backends/ServerConnector.h"
 #include "gateway/policy/RetryBudget.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,17 +14,6 @@
 
 namespace gwt {
 
-/// \brief State shared by all service pools of a process.
-struct PoolContext
-{
-    boost::asio::io_context &ioContext;
-    TimerQueue &timers;
-    const HeaderNames &headerNames;
-    Metrics &metrics;
-    std::string availabilityZone; ///< of this process
-    ByteBudget &replyBytes; ///< for the bodies of all replies that are being received
-};
-
 /// \brief The backend servers of one service and the queue of attempts that wait for a connection.
 class ServicePool
 {
@@ -49,6 +40,9 @@
     /// typical latency is \a typicalLatency; Duration::max() if there is no such server.
     Duration expectedLatency(Duration typicalLatency, const std::vector<std::string> &excluded,
                              TimePoint now) const;
+    /// \brief When a server that only holds requests off can take work again; nullopt if there is
+    /// no such server, or if hasServer() is true.
+    std::optional<TimePoint> nextHoldEnd(TimePoint now) const;
     RetryBudget &budget() { return m_budget; }
     const RetryBudget &budget() const { return m_budget; }
     std::size_t queueLength() const { return m_queue.size(); }
@@ -67,6 +61,7 @@
         std::shared_ptr<ClientConnection> connection; ///< null: a new one must be opened first
     };
 
+    void removeInstance(BackendServer &server);
     void dispatch();
     bool isCandidate(const BackendServer &server, const std::vector<std::string> &excluded,
                      TimePoint now) const;
@@ -79,13 +74,10 @@
     /// \brief Ends the queued \a attempt if it could not be answered in time, else bounds its wait.
     void limitQueueWait(const std::shared_ptr<BackendAttempt> &attempt);
     void send(const std::shared_ptr<BackendAttempt> &attempt, const Choice &choice, TimePoint now);
-    void openConnection(const std::shared_ptr<BackendServer> &server);
-    void onConnected(const std::shared_ptr<BackendServer> &server,
-                     const std::shared_ptr<ClientConnection> &connection);
-    void onConnectFailed(const std::shared_ptr<BackendServer> &server, const Error &error);
-    void backOffConnects(const std::shared_ptr<BackendServer> &server);
     void onReply(const std::shared_ptr<BackendAttempt> &attempt, Outcome<WireResponse> outcome);
-    AttemptReply interpret(const BackendAttempt &attempt, Outcome<WireResponse> &outcome) const;
+    /// \brief Returns false if the response with \a head belongs to an earlier request.
+    bool onResponseHead(const std::shared_ptr<BackendAttempt> &attempt, const WireResponse &head);
+    void startHold(const std::shared_ptr<BackendServer> &server, TimePoint until, TimePoint now);
     void expire(const std::shared_ptr<BackendAttempt> &attempt);
     void finish(const std::shared_ptr<BackendAttempt> &attempt, AttemptReply reply);
     void release(const std::shared_ptr<BackendAttempt> &attempt);
@@ -94,6 +86,7 @@
     PoolContext &m_context;
     const std::string m_service;
     RetryBudget m_budget;
+    ServerConnector m_connector;
     std::map<std::string, std::shared_ptr<BackendServer>> m_servers; ///< by id
     std::list<std::shared_ptr<BackendAttempt>> m_queue; ///< most urgent first, then oldest
     int m_connectionShare = 1;
--- a/src/gateway/forwarding/HeaderNames.h
+++ b/src/gateway/forwarding/HeaderNames.h
@@ -14,6 +14,7 @@
     std::string targetServer; ///< id of the only backend server that may run the request
     std::string serverId; ///< id of the backend server that sent the response
     std::string notRun; ///< present: the backend server did not run the request
+    std::string leaving; ///< present, and not "0": the backend server is about to end
     std::string signature; ///< proves that a backend server produced the response
     std::string partSignatures; ///< signatures of the shards in a merged answer
     std::string missingParts; ///< number of shards that are not in a merged answer
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -169,7 +169,9 @@
     if (!m_attempts.empty())
         return false;
     if (!m_pool.hasServer(now, m_triedServers)) {
-        if (reply.result == AttemptResult::NotRun && reply.reason != "misdirected")
+        const bool isBusy
+            = reply.result == AttemptResult::NotRun && reply.reason != misdirectedReason;
+        if (isBusy && m_pool.hasServer(now + refusalRetryDelay))
             retryLater();
         return false;
     }
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "gateway/forwarding/Refusal.h"
+#include "gateway/forwarding/RetryAfter.h"
 
 #include <algorithm>
 
@@ -243,9 +244,15 @@
     }
     m_isEnded = true;
     m_context.timers.cancel(m_deadlineTimer);
-    const Milliseconds retryAfter
-        = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
-    m_plan.exchange->respond(makeRefusal(503, reason, retryAfter));
+    m_plan.exchange->respond(makeRefusal(503, reason, retryAfter(now)));
+}
+
+Milliseconds ShardQueryRun::retryAfter(TimePoint now) const
+{
+    const ShardQuery &query = m_plan.route->query;
+    return adviseRetryAfter(m_context, m_plan, query.shards,
+                            PartialAnswerPolicy::minShards(query.shards.size(), query.minShare),
+                            now);
 }
 
 bool ShardQueryRun::mayHaveRun() const
@@ -267,12 +274,12 @@
         logInfo("query_failed", logFields(reason, status));
     const auto exchange = m_plan.exchange;
     finish();
-    std::optional<Milliseconds> retryAfter;
+    std::optional<Milliseconds> backoff;
     if (status == 503) {
         m_context.admission.recordRefusal(*m_plan.route, now);
-        retryAfter = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
+        backoff = retryAfter(now);
     }
-    exchange->respond(makeRefusal(status, reason, retryAfter));
+    exchange->respond(makeRefusal(status, reason, backoff));
 }
 
 void ShardQueryRun::onCallerDisconnected()
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -41,6 +41,7 @@
     void giveUp(unsigned statusIfRun, const std::string &reason);
     bool mayHaveRun() const;
     void refuse(const std::string &reason, std::size_t reachable);
+    Milliseconds retryAfter(TimePoint now) const;
     void reportPressure();
     void onCallerDisconnected();
     void finish();
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "gateway/forwarding/Refusal.h"
+#include "gateway/forwarding/RetryAfter.h"
 
 namespace gwt {
 
@@ -125,7 +126,7 @@
     std::optional<Milliseconds> retryAfter;
     if (status == 503) {
         m_context.admission.recordRefusal(*m_plan.route, now);
-        retryAfter = m_context.admission.retryAfter(*m_plan.route, m_plan.deadline - now, now);
+        retryAfter = adviseRetryAfter(m_context, m_plan, {m_service}, 1, now);
     }
     m_plan.exchange->respond(makeRefusal(status, reason, retryAfter));
 }
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -113,14 +113,16 @@
     m_parser->header_limit(maxHeaderBytes);
     m_parser->body_limit(m_maxBodyBytes);
     m_parser->skip(m_isHead);
+    m_isHeadExamined = false;
+    m_isAccepted = true;
 }
 
-void ClientConnection::exchange(std::string request, bool isHead, ResponseFilter accepts,
+void ClientConnection::exchange(std::string request, bool isHead, HeadHandler onHead,
                                 ResponseHandler handler)
 {
     m_request = std::move(request);
     m_isHead = isHead;
-    m_accepts = std::move(accepts);
+    m_headHandler = std::move(onHead);
     m_handler = std::move(handler);
     m_skippedResponses = 0;
     resetParser();
@@ -166,7 +168,7 @@
         // A body without a length is complete on an orderly close, but not on a reset.
         error_code incomplete;
         m_parser->put_eof(incomplete);
-        if (!incomplete && m_parser->is_done() && (!m_accepts || m_accepts(m_parser->get()))) {
+        if (!incomplete && m_parser->is_done() && m_isAccepted) {
             finish();
             return;
         }
@@ -195,6 +197,7 @@
             return false;
         }
     }
+    examineHead();
     const std::size_t bodyBytes = m_parser->get().body().size();
     if (bodyBytes > s_freeBodyBytes && !m_body.tryGrowTo(bodyBytes)) {
         fail({ErrorCode::Malformed, "bad_reply", "no memory for the body"});
@@ -208,11 +211,20 @@
     return true;
 }
 
+void ClientConnection::examineHead()
+{
+    if (m_isHeadExamined || !m_parser->is_header_done())
+        return;
+    m_isHeadExamined = true;
+    const auto status = http::to_status_class(m_parser->get().result());
+    if (status != http::status_class::informational && m_headHandler)
+        m_isAccepted = m_headHandler(m_parser->get());
+}
+
 bool ClientConnection::isSkipped() const
 {
     const auto status = http::to_status_class(m_parser->get().result());
-    return status == http::status_class::informational
-        || (m_accepts && !m_parser->need_eof() && !m_accepts(m_parser->get()));
+    return status == http::status_class::informational || (!m_parser->need_eof() && !m_isAccepted);
 }
 
 void ClientConnection::parse()
@@ -243,7 +255,7 @@
     m_lastUsed = Clock::now();
     m_hasReceivedResponse = true;
     const ResponseHandler handler = std::exchange(m_handler, nullptr);
-    m_accepts = nullptr;
+    m_headHandler = nullptr;
     recordKeepAlive(response);
     // Surplus bytes, or a request not yet fully sent, would mix up the next exchange.
     const bool canReuse = m_buffer.size() == 0 && !m_isWriting;
@@ -268,7 +280,7 @@
 {
     const auto self = shared_from_this();
     const ResponseHandler handler = std::exchange(m_handler, nullptr);
-    m_accepts = nullptr;
+    m_headHandler = nullptr;
     const bool wasOpen = m_isOpen;
     closeSocket();
     if (handler)
@@ -280,7 +292,7 @@
 void ClientConnection::close()
 {
     m_handler = nullptr;
-    m_accepts = nullptr;
+    m_headHandler = nullptr;
     closeSocket();
 }
 
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -31,7 +31,9 @@
     /// Malformed (the response is not valid HTTP, too large or preceded by too many others, or the
     /// budget for bodies is used up; the server may have run the request).
     using ResponseHandler = std::function<void(Outcome<WireResponse>)>;
-    using ResponseFilter = std::function<bool(const WireResponse &)>;
+    /// \brief Called with the head of each final response, before its body is complete; returns
+    /// false if the response belongs to an earlier request. Must not close the connection.
+    using HeadHandler = std::function<bool(const WireResponse &)>;
     using ConnectHandler = std::function<void(Outcome<Done>)>;
     /// \brief Called once when an idle connection becomes unusable.
     using CloseHandler = std::function<void()>;
@@ -58,10 +60,9 @@
 
     /// \brief Sends \a request, whose bytes are a complete HTTP message. \pre isIdle()
     ///
-    /// A response for which \a accepts returns false belongs to an earlier request and is dropped.
-    /// \a handler never runs before this call returns.
-    void exchange(std::string request, bool isHead, ResponseFilter accepts,
-                  ResponseHandler handler);
+    /// A response for which \a onHead returns false is dropped. Without \a onHead, all responses
+    /// are accepted. \a handler never runs before this call returns.
+    void exchange(std::string request, bool isHead, HeadHandler onHead, ResponseHandler handler);
 
     /// \brief True if a request can be sent now.
     bool isIdle() const { return m_isOpen && !m_handler && !m_isWriting; }
@@ -81,6 +82,7 @@
     void onRead(const boost::system::error_code &failure, std::size_t count);
     void parse();
     bool parseBuffer();
+    void examineHead();
     bool isSkipped() const;
     void resetParser();
     void finish();
@@ -97,7 +99,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::string m_request;
-    ResponseFilter m_accepts;
+    HeadHandler m_headHandler;
     ResponseHandler m_handler;
     CloseHandler m_closeHandler;
     TimerQueue::Id m_connectTimer;
@@ -106,6 +108,8 @@
     bool m_isOpen = false;
     bool m_isWriting = false;
     bool m_isHead = false;
+    bool m_isHeadExamined = false;
+    bool m_isAccepted = true; ///< the response being received belongs to the request
     bool m_hasReceivedResponse = false;
     int m_skippedResponses = 0; ///< since the request was sent
 };
