--- a/test/GatewaySoakTest.cpp
+++ b/test/GatewaySoakTest.cpp
@@ -43,6 +43,41 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, StoreSilenceTest, testing::Values(1, 4));
 
+struct NoticeCase
+{
+    std::string name;
+    std::uint64_t seed;
+    std::vector<std::string> faults;
+};
+
+class ServerNoticeTest : public testing::TestWithParam<NoticeCase>
+{ };
+
+// Guards against requests to servers that stated that they are leaving, or want none for a while.
+TEST_P(ServerNoticeTest, areObeyed)
+{
+    SoakOptions options;
+    options.seed = GetParam().seed;
+    options.duration = 8s;
+    options.faults = GetParam().faults;
+    Soak soak(options);
+    EXPECT_EQ(soak.run(), std::vector<std::string>{}) << "logs: " << soak.folder();
+    EXPECT_GT(soak.notices().notices(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, ServerNoticeTest,
+    testing::Values(NoticeCase{"alone", 1, {"backend announces its end", "backend sheds load"}},
+                    NoticeCase{"whileTheStoreIsOut",
+                               2,
+                               {"backend announces its end", "backend sheds load",
+                                "store unavailable", "store silent"}},
+                    NoticeCase{"whileGatewaysArePausedAndReloaded",
+                               3,
+                               {"backend announces its end", "backend sheds load", "gateway paused",
+                                "gateway reloads"}}),
+    [](const auto &info) { return info.param.name; });
+
 struct PlannedWork
 {
     std::string name;
--- a/test/soak/LoopbackProxy.cpp
+++ b/test/soak/LoopbackProxy.cpp
@@ -50,6 +50,8 @@
 
 void LoopbackProxy::setMode(Mode mode)
 {
+    if (m_mode != Mode::Passes)
+        m_faultEndedAt = Clock::now();
     m_mode = mode;
     std::erase_if(m_links, [](const auto &weak) { return weak.expired(); });
     if (mode != Mode::Resets)
--- a/test/soak/LoopbackProxy.h
+++ b/test/soak/LoopbackProxy.h
@@ -27,6 +27,11 @@
 
     Endpoint endpoint() const;
     void setMode(Mode mode);
+    /// \brief True if all data has passed since \a time.
+    bool hasPassedSince(TimePoint time) const
+    {
+        return m_mode == Mode::Passes && m_faultEndedAt < time;
+    }
 
 private:
     struct Link;
@@ -42,6 +47,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<std::weak_ptr<Link>> m_links;
     Mode m_mode = Mode::Passes;
+    TimePoint m_faultEndedAt;
 };
 
 } // namespace gwt::test
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -46,6 +46,8 @@
     {"backend never ends replies", &Soak::backendNeverEnds},
     {"backend cut", &Soak::backendCut},
     {"backend leaves", &Soak::backendLeaves},
+    {"backend announces its end", &Soak::backendAnnouncesEnd},
+    {"backend sheds load", &Soak::backendSheds},
     {"gateway killed", &Soak::gatewayKilled},
     {"gateway stopped", &Soak::gatewayStopped},
     {"gateway paused", &Soak::gatewayPaused},
@@ -74,7 +76,7 @@
     const auto addBackend = [&](auto &backends, const std::string &service, int replica) {
         backends.push_back(std::make_unique<SoakBackend>(
             m_context, m_timers, service, "i-" + service + "-" + std::to_string(replica),
-            m_executions, m_random()));
+            m_executions, m_notices, m_random()));
         registerBackend(*backends.back(), "ready");
     };
     for (int shard = 0; shard < m_options.shards; ++shard) {
@@ -117,6 +119,7 @@
                              {"slots", 2},
                              {"state", state},
                              {"seq", 1},
+                             {"born", backend.born()},
                              {"warmupLeftMs", 0}};
     m_platform.data().overwrite("servers", backend.id(), entry);
 }
@@ -241,6 +244,17 @@
     atFaultEnd([this, &backend] { registerBackend(backend, "ready"); });
 }
 
+void Soak::backendAnnouncesEnd()
+{
+    // The registry does not say so, as it may be out of reach of this server.
+    SoakBackend &backend = randomElement(m_backends);
+    backend.announceLeaving();
+    m_timers.after(longFaultDuration, [this, &backend] {
+        backend.restart();
+        registerBackend(backend, "ready");
+    });
+}
+
 void Soak::gatewayPaused()
 {
     SoakGateway &gateway = randomElement(m_gateways);
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -38,6 +38,7 @@
     /// \brief Runs the whole soak and returns a description of each violated guarantee.
     std::vector<std::string> run();
     const SoakFindings &findings() const { return m_findings; }
+    const NoticeCheck &notices() const { return m_notices; }
     /// \brief Directory of the process logs.
     const std::string &folder() const { return m_folder; }
 
@@ -77,6 +78,8 @@
     void backendLosesReplies() { injectBackendFault(SoakBackend::Mode::LosesReplies); }
     void backendRepeatsReplies() { injectBackendFault(SoakBackend::Mode::RepeatsReplies); }
     void backendNeverEnds() { injectBackendFault(SoakBackend::Mode::NeverEndsReplies); }
+    void backendSheds() { injectBackendFault(SoakBackend::Mode::Sheds); }
+    void backendAnnouncesEnd();
     void backendCut() { injectProxyFault(randomElement(m_backends).proxy()); }
     void backendLeaves();
     void gatewayKilled() { randomElement(m_gateways).signal(SIGKILL); }
@@ -93,6 +96,7 @@
     std::string m_folder;
     ExecutionCounts m_executions;
     SoakFindings m_findings;
+    NoticeCheck m_notices{m_gateways, m_findings.violations};
     FakePlatform m_platform{m_context.get_executor()};
     Endpoint m_store;
     std::vector<std::string> m_shards;
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -9,14 +9,18 @@
 constexpr std::size_t recordBytes = 16;
 constexpr int recordsOfAShard = 6;
 constexpr Milliseconds slowWork{300};
+const std::string leavingField = "Server-Leaving: 1\r\n";
+constexpr std::chrono::seconds sheddingPause{1};
 
 } // namespace
 
 SoakBackend::SoakBackend(boost::asio::io_context &context, TimerQueue &timers, std::string service,
-                         std::string id, ExecutionCounts &runs, std::uint64_t seed)
+                         std::string id, ExecutionCounts &runs, NoticeCheck &notices,
+                         std::uint64_t seed)
     : m_service(std::move(service))
     , m_id(std::move(id))
     , m_executions(runs)
+    , m_notices(notices)
     , m_random(seed)
     , m_server(context, timers, [this](const ServerRequest &request) { return answer(request); })
     , m_proxy(context, timers, m_server.endpoint())
@@ -48,16 +52,45 @@
     return replies.at(m_random() % replies.size());
 }
 
+void SoakBackend::restart()
+{
+    ++m_born;
+    m_isLeaving = false;
+    m_notices.forget(m_id);
+    m_server.closeAll();
+}
+
+ScriptedReply SoakBackend::refusal(const ServerRequest &request, int status, std::string fields)
+{
+    if (m_isLeaving) {
+        fields += leavingField;
+        m_notices.recordLeaving(m_id, request, m_proxy);
+    }
+    return {httpResponse(status, fields, "")};
+}
+
 ScriptedReply SoakBackend::answer(const ServerRequest &request)
 {
     const std::string id(request["X-Request-Id"]);
     if (request["X-Target-Instance"] != m_id)
-        return {httpResponse(421, "X-Instance-Id: " + m_id + "\r\n", "")};
+        return refusal(request, 421, "X-Instance-Id: " + m_id + "\r\n");
+    m_notices.checkRequest(m_id, request);
     if (m_mode == Mode::Full)
-        return {httpResponse(503, "X-Not-Executed: 1\r\n", "")};
+        return refusal(request, 503, "X-Not-Executed: 1\r\n");
+    if (m_mode == Mode::Sheds) {
+        m_notices.recordPause(m_id, request, sheddingPause, m_proxy);
+        return refusal(request, 503,
+                       "X-Not-Executed: 1\r\nRetry-After: " + std::to_string(sheddingPause.count())
+                           + "\r\n");
+    }
     ++m_executions[id];
-    const std::string fields = "X-Server-Stamp: " + signature(m_service, id)
-        + "\r\nX-Request-Id: " + id + "\r\nX-Instance-Id: " + m_id + "\r\n";
+    std::string fields = "X-Server-Stamp: " + signature(m_service, id) + "\r\nX-Request-Id: " + id
+        + "\r\nX-Instance-Id: " + m_id + "\r\n";
+    if (m_isLeaving) {
+        fields += leavingField;
+        if (m_mode == Mode::Serves || m_mode == Mode::Fails)
+            m_notices.recordLeaving(m_id, request, m_proxy);
+    }
     const std::string good = httpResponse(200, fields, records(m_service, id));
     const Milliseconds work(1 + static_cast<int>(m_random() % 6));
     switch (m_mode) {
@@ -73,6 +106,7 @@
         return endlessReply(fields);
     case Mode::Serves:
     case Mode::Full:
+    case Mode::Sheds:
         break;
     }
     return {good, work};
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -85,6 +85,7 @@
 {
     m_seeds = seeds;
     setDisturbedUntil(Clock::now());
+    m_interruptedAt = Clock::now();
     writeSettings();
     const std::string log = m_folder + "/" + m_name + ".log";
     posix_spawn_file_actions_t actions;
@@ -108,6 +109,8 @@
 void SoakGateway::signal(int number)
 {
     setDisturbedUntil(Clock::now());
+    if (number != SIGHUP)
+        m_interruptedAt = Clock::now();
     if (m_pid > 0)
         ::kill(m_pid, number);
 }
