Do not reuse a connection for the retry of a refused unsafe request

Reported for similar systems: a second copy of an answer came late, on a connection that was in use again. Here the request id tells copies apart, but not where the same request is sent again: a retry of a request that is not idempotent, refused as not run by the only server, goes to the same server 15 ms later, on the connection used last. A second copy of the refusal then counts as the answer to the retry, which runs at that moment: the caller gets 503 "not run", or the request is sent once more and runs twice.

GatewayReuseTest.aSecondCopyOfARefusalIsNotTakenForTheAnswerToTheRetry on the code before: three sends, two of them run. Now: two sends, one run, the caller gets its answer. The connection is closed after such a refusal, so that a copy has no request to arrive at.

Not changed for idempotent requests: a server that sheds load refuses many of them, and each would cost a connection; a copy there can end a request as refused that may have run, which repeats nothing.

--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -308,6 +308,9 @@
         logInfo("backend_misdirected", {{"service", m_service}, {"backend", server.entry().id}});
         server.retire();
     }
+    // A second copy of the refusal could come on this connection, in place of the answer to a retry.
+    if (reply.result == AttemptResult::NotRun && !attempt->isIdempotent)
+        attempt->connection->close();
     if (!reply.isAtConnectionLimit)
         server.score().record(sendResultOf(reply), reply.elapsed, attempt->typicalLatency, now);
     finish(attempt, std::move(reply));
