Answer requests that have arrived unread when a stopping process closes connections

Reported for similar systems: in a planned stop under load, requests that had just been accepted were cut off. Here 2.5 s after SIGTERM idle connections are closed, also one whose next request lies unread in the socket; and the process ends as soon as no request is handled or answered, even if one is being read. docs/PROMISES.md had the first as seen now and then (gwt-soak, gateway stopped).

GatewayReuseTest.aRequestThatArrivedUnreadIsAnsweredWhenIdleConnectionsAreClosed on the code before: the connection is closed without an answer, and the process counts as drained. Now: 200 with Connection: close. A connection counts as busy while a request is being read or has arrived unread; a caller that stalls within one delays the end by the shutdown time-out at most.

Left: a connection that the kernel accepts in the microseconds between the last accept and the end of the process.

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace gwt {
 
@@ -323,10 +324,21 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (!m_currentExchange && !m_isWriting && !m_hasRequestBytes)
+    if (!isBusy())
         close();
 }
 
+bool CallerConnection::isBusy()
+{
+    return m_currentExchange != nullptr || m_isWriting || m_hasRequestBytes || hasUnreadBytes();
+}
+
+bool CallerConnection::hasUnreadBytes()
+{
+    char byte = 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void CallerConnection::handleDisconnect()
 {
     close();
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -39,9 +39,11 @@
     /// \brief Closes the connection unless a request is being read, handled or answered.
     void closeIfIdle();
     bool isOpen() const { return m_isOpen; }
-    bool isBusy() const { return m_currentExchange != nullptr || m_isWriting; }
+    /// \brief True while a request is being read, handled or answered, or has arrived unread.
+    bool isBusy();
 
 private:
+    bool hasUnreadBytes();
     class Exchange;
     friend class Exchange;
 
