--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -308,7 +308,7 @@
         logInfo("backend_misdirected", {{"service", m_service}, {"backend", server.entry().id}});
         server.retire();
     }
-    // A second copy of the refusal could come on this connection, in place of the answer to a retry.
+    // A second copy of the refusal could come here in place of the answer to a retry.
     if (reply.result == AttemptResult::NotRun && !attempt->isIdempotent)
         attempt->connection->close();
     if (!reply.isAtConnectionLimit)
