--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -111,6 +111,29 @@
     EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=9&"));
 }
 
+// All processes have started while the store did not answer: none has a state until it does.
+TEST_F(KindFeedTest, aFirstListingWithoutReplyIsRepeatedSoon)
+{
+    int listings = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        return isWatch(request) || ++listings == 1 ? ScriptedReply{} : json(onePage);
+    });
+    follow(server);
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return m_recorder.hasCall("listing:1"); }, 1s));
+}
+
+TEST_F(KindFeedTest, aStoreThatNeedsMoreThanASecondForAListingIsWaitedFor)
+{
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        return isWatch(request) ? ScriptedReply{}
+                                : ScriptedReply{httpResponse(200, "", onePage), 1500ms};
+    });
+    follow(server);
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return m_recorder.hasCall("listing:1"); }, 6s));
+}
+
 TEST_F(KindFeedTest, listsAgainAfterBrokenWatch)
 {
     // A store that has dropped its history may block a new watch without reporting missed changes.
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -60,6 +60,26 @@
     platform::PlatformFeed m_feed;
 };
 
+// The store answers the first call of a process that starts in its outage neither then nor later.
+TEST_F(PlatformFeedTest, joiningAStoreThatReturnsFromSilenceTakesLessThanASecond)
+{
+    int listings = 0;
+    test::ScriptedServer store(m_context, m_timers, [&](const test::ServerRequest &request) {
+        const bool isListing = request.method() == boost::beast::http::verb::get;
+        const bool isLost = isListing && ++listings == 1;
+        return isLost
+            ? test::ScriptedReply{}
+            : test::ScriptedReply{test::httpResponse(200, "", R"({"items":[],"asOf":5})")};
+    });
+    platform::PlatformFeed feed(m_context, m_timers, m_metrics, store.endpoint(),
+                                {"host-b", {"127.0.0.1", 1}, "north"}, m_state, 600ms);
+    bool hasJoined = false;
+    feed.join([&] { hasJoined = true; });
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return hasJoined; }, 1s));
+    EXPECT_EQ(m_state.members().size(), 1U);
+}
+
 TEST_F(PlatformFeedTest, deregistrationRemovesMemberUnlessItHasChanged)
 {
     m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
