--- a/review/harness/Harness.cpp
+++ b/review/harness/Harness.cpp
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -365,9 +366,28 @@
 }
 
 Store::Store()
-    : m_listener(std::make_unique<Listener>([this](const auto &socket) { serve(socket); }))
+    : m_listener(std::make_unique<Listener>([this](const auto &socket) { serve(socket, false); }))
 { }
 
+int Store::openOtherPort()
+{
+    m_otherListener
+        = std::make_unique<Listener>([this](const auto &socket) { serve(socket, true); });
+    return m_otherListener->port();
+}
+
+void Store::beSilentAtOtherPort(Ms from, Ms until)
+{
+    m_silentUntil = until;
+    m_silentFrom = from;
+}
+
+Ms Store::lastOtherWatch(const std::string &kind)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastOtherWatch[kind];
+}
+
 std::string Store::text(const std::string &name, const Object &object) const
 {
     return "{\"meta\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string(object.revision)
@@ -403,12 +423,24 @@
     return now();
 }
 
-void Store::serve(const std::shared_ptr<Socket> &socket)
+void Store::serve(const std::shared_ptr<Socket> &socket, bool isOther)
 {
+    const auto isSilent = [&] { return isOther && now() >= m_silentFrom && now() < m_silentUntil; };
+    bool isDead = false;
     while (const auto request = socket->read(now() + 600'000, true)) {
         ++m_calls;
         sleepFor(4); // the store's usual time for an answer
-        if (!socket->send(answer(*request)))
+        const std::string target = request->target();
+        if (isOther && target.find("watch=") != std::string::npos) {
+            const std::lock_guard lock(m_mutex);
+            m_lastOtherWatch[target.substr(11, target.find('?') - 11)] = now();
+        }
+        const std::string reply = answer(*request);
+        if (!isDead && isSilent()) {
+            isDead = true;
+            Record::line("the store loses its answer to " + request->method() + " " + target);
+        }
+        if (!isDead && !socket->send(reply))
             return;
     }
 }
@@ -658,6 +690,7 @@
     const std::string log = m_folder + "/" + m_name + ".log";
     m_pid = ::fork();
     if (m_pid == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // no gateway outlives its script
         const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(file, 1);
         ::dup2(file, 2);
--- a/review/harness/Harness.h
+++ b/review/harness/Harness.h
@@ -101,6 +101,13 @@
 public:
     Store();
     int port() const { return m_listener->port(); }
+    /// Opens another address of the store, for the one machine that is to be turned away.
+    int openOtherPort();
+    /// Between the two times the store is silent at its other address: an answer that is due then is
+    /// lost, and its connection returns nothing further.
+    void beSilentAtOtherPort(Ms from, Ms until);
+    /// The time at which a watch of `kind` last began at the other address.
+    Ms lastOtherWatch(const std::string &kind);
     /// Creates or replaces an object; `spec` is JSON text. Returns the time of the acknowledgement.
     Ms put(const std::string &kind, const std::string &name, const std::string &spec);
     Ms remove(const std::string &kind, const std::string &name);
@@ -119,7 +126,7 @@
         std::string kind;
         std::string text;
     };
-    void serve(const std::shared_ptr<Socket> &socket);
+    void serve(const std::shared_ptr<Socket> &socket, bool isOther);
     std::string answer(const Message &request);
     std::string text(const std::string &name, const Object &object) const;
     std::string listing(const std::string &kind, const std::string &after);
@@ -133,7 +140,11 @@
     std::vector<Event> m_history;
     std::uint64_t m_revision = 1;
     std::atomic<int> m_calls = 0;
+    std::atomic<Ms> m_silentFrom = 0;
+    std::atomic<Ms> m_silentUntil = 0;
+    std::map<std::string, Ms> m_lastOtherWatch;
     std::unique_ptr<Listener> m_listener;
+    std::unique_ptr<Listener> m_otherListener;
 };
 
 /// A request that a searcher began to work on.
