--- a/review/harness/Harness.cpp
+++ b/review/harness/Harness.cpp
@@ -628,18 +628,23 @@
 
 int freePort()
 {
+    // Below the range from which the system takes the ports of outgoing connections.
+    constexpr int firstPort = 20'000;
+    constexpr int lastPort = 31'999;
     static std::set<int> given;
+    static std::mt19937 random(std::random_device{}());
     for (;;) {
+        const int port = std::uniform_int_distribution<int>(firstPort, lastPort)(random);
         const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-        ::getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
+        const bool isFree
+            = ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
         ::close(handle);
-        if (given.insert(ntohs(address.sin_port)).second)
-            return ntohs(address.sin_port);
+        if (isFree && given.insert(port).second)
+            return port;
     }
 }
 
