Log which requests a stopping gateway leaves without a response

A process that stopped said only whether it was quiet at that moment. The record of the incident could therefore not tell a process that reached its time limit with requests in flight from one that took itself for quiet, or from a response lost after it was written.

request_cut names each request without a complete response at the end, with its stage and age; stopped gives the time since the signal and their number; stopping the open requests at the signal. No change of behaviour.

--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -93,7 +93,9 @@
         return;
     m_isStopping = true;
     m_stopRequestedAt = Clock::now();
-    logInfo("stopping", {{"connections", m_callerServer.connections()}});
+    logInfo("stopping",
+            {{"connections", m_callerServer.connections()},
+             {"open_requests", m_callerServer.openRequests().size()}});
     m_callerServer.drain();
     m_timers.after(m_options.idleCloseDelay, [this] { stopWhenDrained(); });
 }
@@ -103,13 +105,30 @@
     m_callerServer.closeIdle();
     const bool hasTimedOut = Clock::now() - m_stopRequestedAt >= m_shutdownTimeout;
     if (m_callerServer.isDrained() || hasTimedOut) {
-        logInfo("stopped", {{"is_quiet", m_callerServer.isDrained() ? "yes" : "no"}});
+        logStop();
         m_context.stop();
         return;
     }
     m_timers.after(stopPollInterval, [this] { stopWhenDrained(); });
 }
 
+void GatewayProcess::logStop()
+{
+    const std::vector<OpenRequest> cut = m_callerServer.openRequests();
+    for (const OpenRequest &request : cut) {
+        logWarning("request_cut",
+                   {{"id", request.id},
+                    {"stage", toString(request.stage)},
+                    {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(request.age).count()}});
+    }
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_stopRequestedAt);
+    logInfo("stopped",
+            {{"is_quiet", m_callerServer.isDrained() ? "yes" : "no"},
+             {"connections", m_callerServer.connections()},
+             {"cut", cut.size()},
+             {"elapsed_ms", elapsed.count()}});
+}
+
 void GatewayProcess::AdminHandler::handle(std::shared_ptr<CallerExchange> exchange)
 {
     const auto target = exchange->request().target();
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -54,6 +54,7 @@
     void waitForSignal();
     void stop();
     void stopWhenDrained();
+    void logStop();
 
     boost::asio::io_context &m_context;
     TimerQueue &m_timers;
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -333,6 +333,25 @@
     return m_currentExchange != nullptr || m_isWriting || m_hasRequestBytes || hasUnreadBytes();
 }
 
+std::optional<OpenRequest> CallerConnection::openRequest()
+{
+    const Duration age = Clock::now() - m_arrivedAt;
+    if (m_currentExchange) {
+        const std::string id(m_currentExchange->request()[m_context.headerNames.requestId]);
+        return OpenRequest{id, RequestStage::InFlight, age};
+    }
+    if (m_isWriting) {
+        if (m_written == m_output.size())
+            return std::nullopt;
+        return OpenRequest{m_responseRequestId, RequestStage::Answering, age};
+    }
+    if (m_hasRequestBytes)
+        return OpenRequest{"", RequestStage::Receiving, age};
+    if (hasUnreadBytes())
+        return OpenRequest{"", RequestStage::Receiving, Duration::zero()};
+    return std::nullopt;
+}
+
 bool CallerConnection::hasUnreadBytes()
 {
     char byte = 0;
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -3,6 +3,7 @@
 #include "common/Metrics.h"
 #include "common/TimerQueue.h"
 #include "gateway/callers/CallerExchange.h"
+#include "gateway/callers/OpenRequest.h"
 #include "gateway/forwarding/HeaderNames.h"
 #include "gateway/policy/TransferTimeout.h"
 #include "gateway/routing/Route.h"
@@ -41,6 +42,8 @@
     bool isOpen() const { return m_isOpen; }
     /// \brief True while a request is being read, handled or answered, or has arrived unread.
     bool isBusy();
+    /// \brief Returns the request that a close would cut off, if there is one.
+    std::optional<OpenRequest> openRequest();
 
 private:
     bool hasUnreadBytes();
--- a/src/gateway/callers/CallerServer.cpp
+++ b/src/gateway/callers/CallerServer.cpp
@@ -76,6 +76,20 @@
     });
 }
 
+std::vector<OpenRequest> CallerServer::openRequests()
+{
+    prune();
+    std::vector<OpenRequest> requests;
+    for (const auto &weak : m_connections) {
+        const auto connection = weak.lock();
+        if (!connection)
+            continue;
+        if (auto request = connection->openRequest())
+            requests.push_back(std::move(*request));
+    }
+    return requests;
+}
+
 std::size_t CallerServer::connections()
 {
     prune();
--- a/src/gateway/callers/CallerServer.h
+++ b/src/gateway/callers/CallerServer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <list>
+#include <vector>
 
 namespace gwt {
 
@@ -24,6 +25,8 @@
     void closeIdle();
     /// \brief True if no request is being handled or answered.
     bool isDrained();
+    /// \brief The requests without a complete response.
+    std::vector<OpenRequest> openRequests();
     /// \brief Number of open connections.
     std::size_t connections();
 
