Show that planned stops cut off requests that were executed (known red)

The soak had a fault "gateway stopped", but a request whose connection ended without a response was only counted as a failure: any soak with kills has such failures, so that no bound was set. Its callers also paused long enough, and were few enough, for a stopping process to find a quiet moment.

A service with long requests (up to 600 ms) is added. PlannedStopTest runs it with 24 callers a gateway that connect again at once.

--- a/test/GatewaySoakTest.cpp
+++ b/test/GatewaySoakTest.cpp
@@ -106,5 +106,28 @@
                                                      {"gateway reloads", "configuration changes"}}),
                          [](const auto &info) { return info.param.name; });
 
+class PlannedStopTest : public testing::TestWithParam<PlannedWork>
+{ };
+
+// Guards against requests that a stopping process ends without a response: those that are still in
+// flight when it exits because its callers never pause.
+TEST_P(PlannedStopTest, noRequestIsCutOff)
+{
+    SoakOptions options;
+    options.duration = 8s;
+    options.callers = 72;
+    options.faults = GetParam().faults;
+    Soak soak(options);
+    EXPECT_EQ(soak.run(), std::vector<std::string>{}) << "logs: " << soak.folder();
+    EXPECT_GT(soak.findings().served, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(UnderLoad, PlannedStopTest,
+                         testing::Values(PlannedWork{"stops", {"gateway stopped"}},
+                                         PlannedWork{"stopsReloadsAndConfigurations",
+                                                     {"gateway stopped", "gateway reloads",
+                                                      "configuration changes"}}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace gwt::test
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -22,6 +22,10 @@
 constexpr std::chrono::seconds recoveryTime{4};
 constexpr std::chrono::seconds settleTime{2};
 constexpr std::chrono::seconds startTime{10}; ///< until all gateways are ready, on a busy machine
+/// A request that was sent within this time before its connection ends may have crossed the close.
+constexpr Milliseconds closeRaceTime{200};
+constexpr int defaultSlots = 2;
+constexpr int manySlots = 64; ///< of servers whose requests take long
 constexpr int versionBackends = 64; ///< more than the versions that a soak publishes
 
 std::string makeFolder()
@@ -86,6 +90,8 @@
     }
     for (int replica = 1; replica <= 3; ++replica)
         addBackend(m_backends, "single", replica);
+    for (int replica = 1; replica <= 2; ++replica)
+        addBackend(m_longBackends, "long", replica);
     for (int version = 1; version <= versionBackends; ++version)
         addBackend(m_versionBackends, "version-" + std::to_string(version), 1);
     publish();
@@ -116,7 +122,7 @@
                              {"address", toString(backend.endpoint())},
                              {"zone", "z"},
                              {"version", "v1"},
-                             {"slots", 2},
+                             {"slots", backend.service() == "long" ? manySlots : defaultSlots},
                              {"state", state},
                              {"seq", 1},
                              {"born", backend.born()},
@@ -138,6 +144,7 @@
     }
     const std::string versionService = "version-" + std::to_string(m_version);
     services.push_back({{"name", "single"}, {"healthPath", "/h"}, {"maxConnections", 30}});
+    services.push_back({{"name", "long"}, {"healthPath", "/h"}, {"maxConnections", 400}});
     services.push_back({{"name", versionService}, {"healthPath", "/h"}, {"maxConnections", 30}});
     const auto route = [](const char *name, const char *prefix, const char *kind) {
         return json::object{{"name", name},      {"hostname", "soak"}, {"pathPrefix", prefix},
@@ -154,10 +161,13 @@
     once["service"] = "single";
     json::object version = route("version", "/version/", "idempotent");
     version["service"] = versionService;
-    m_platform.data().overwrite("config", "main",
-                                json::object{{"version", m_version},
-                                             {"routes", json::array{query, safe, once, version}},
-                                             {"services", services}});
+    json::object longRoute = route("long", "/long/", "idempotent");
+    longRoute["service"] = "long";
+    m_platform.data().overwrite(
+        "config", "main",
+        json::object{{"version", m_version},
+                     {"routes", json::array{query, safe, once, version, longRoute}},
+                     {"services", services}});
 }
 
 std::vector<Endpoint> Soak::seeds() const
@@ -331,6 +341,19 @@
     }
 }
 
+void Soak::checkUnanswered()
+{
+    for (const UnansweredRequest &request : m_findings.unanswered) {
+        const bool hasRun = m_executions.contains(request.id);
+        if (!hasRun && request.waited <= closeRaceTime)
+            continue;
+        m_findings.violations.push_back("no response to a request that "
+                                        + std::string(hasRun ? "was executed" : "was read") + ": "
+                                        + request.id + " at " + request.gateway + " after "
+                                        + std::to_string(request.waited.count()) + " ms");
+    }
+}
+
 void Soak::checkRecovery()
 {
     const int before = m_findings.served;
@@ -370,6 +393,7 @@
     runUntil(
         m_context, [] { return false; }, settleTime);
     checkExecutions();
+    checkUnanswered();
     return m_findings.violations;
 }
 
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -65,6 +65,7 @@
     void injectProxyFault(LoopbackProxy &proxy);
     void disturb(SoakGateway &gateway, Duration duration);
     void checkExecutions();
+    void checkUnanswered();
     void checkRecovery();
 
     void storeUnavailable() { injectStoreFault(&PlatformFaults::isDown); }
@@ -101,6 +102,7 @@
     Endpoint m_store;
     std::vector<std::string> m_shards;
     std::vector<std::unique_ptr<SoakBackend>> m_backends; ///< those that faults meet
+    std::vector<std::unique_ptr<SoakBackend>> m_longBackends; ///< those whose requests take long
     std::vector<std::unique_ptr<SoakBackend>> m_versionBackends; ///< one a configuration
     std::vector<std::unique_ptr<LoopbackProxy>> m_storeProxies; ///< one a gateway
     std::vector<std::unique_ptr<SoakGateway>> m_gateways;
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t recordBytes = 16;
 constexpr int recordsOfAShard = 6;
 constexpr Milliseconds slowWork{300};
+constexpr std::uint64_t shortWork = 6; ///< milliseconds at most
+constexpr std::uint64_t longWork = 600; ///< milliseconds at most, at the service "long"
 const std::string leavingField = "Server-Leaving: 1\r\n";
 constexpr std::chrono::seconds sheddingPause{1};
 
@@ -92,7 +94,8 @@
             m_notices.recordLeaving(m_id, request, m_proxy);
     }
     const std::string good = httpResponse(200, fields, records(m_service, id));
-    const Milliseconds work(1 + static_cast<int>(m_random() % 6));
+    const std::uint64_t longestWork = m_service == "long" ? longWork : shortWork;
+    const Milliseconds work(1 + static_cast<int>(m_random() % longestWork));
     switch (m_mode) {
     case Mode::Slow:
         return {good, slowWork};
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-enum Kind { Query, Safe, Unsafe, Version, KindCount };
+enum Kind { Query, Safe, Unsafe, Version, Long, KindCount };
 
-constexpr const char *paths[KindCount] = {"/all/1", "/safe/1", "/once/1", "/version/1"};
+constexpr const char *paths[KindCount] = {"/all/1", "/safe/1", "/once/1", "/version/1", "/long/1"};
 constexpr const char *unsafeIdMarker = "-once-";
 constexpr Milliseconds pause{15};
 constexpr Milliseconds deadline{900};
@@ -62,6 +62,14 @@
     m_findings.failures.push_back(id + " at " + m_gateway.name() + ": " + reason);
 }
 
+void SoakCaller::recordUnanswered(const std::string &id)
+{
+    if (m_gateway.killedAt() >= m_sentAt)
+        return;
+    const auto waited = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_sentAt);
+    m_findings.unanswered.push_back({id, m_gateway.name(), waited});
+}
+
 void SoakCaller::sendNext()
 {
     if (m_isStopped)
@@ -116,6 +124,7 @@
         if (errorOf(outcome).code == ErrorCode::Malformed)
             reportViolation("malformed response: " + errorOf(outcome).detail, id);
         recordFailure(id, errorOf(outcome).reason);
+        recordUnanswered(id);
         return;
     }
     const WireResponse &response = valueOf(outcome);
@@ -137,13 +146,14 @@
     else if (kind == Version)
         checkVersion(response);
     else
-        checkSingle(id, response);
+        checkSingle(kind == Long ? "long" : "single", id, response);
 }
 
-void SoakCaller::checkSingle(const std::string &id, const WireResponse &response)
+void SoakCaller::checkSingle(const std::string &service, const std::string &id,
+                             const WireResponse &response)
 {
-    const bool matchesRecords = response["X-Server-Stamp"] == SoakBackend::signature("single", id)
-        && response.body() == SoakBackend::records("single", id);
+    const bool matchesRecords = response["X-Server-Stamp"] == SoakBackend::signature(service, id)
+        && response.body() == SoakBackend::records(service, id);
     if (!matchesRecords)
         reportViolation("the response differs from the backend server's records", id);
 }
--- a/test/soak/SoakCaller.h
+++ b/test/soak/SoakCaller.h
@@ -11,6 +11,14 @@
 
 namespace gwt::test {
 
+/// \brief A request whose connection a gateway ended without a response, though it was not killed.
+struct UnansweredRequest
+{
+    std::string id;
+    std::string gateway;
+    Milliseconds waited{0}; ///< from its last byte to the end of the connection
+};
+
 /// \brief Observations of all callers of one soak.
 struct SoakFindings
 {
@@ -19,6 +27,7 @@
     int served = 0;
     int refusals = 0;
     std::vector<std::string> failures; ///< requests without a valid response, with the reason
+    std::vector<UnansweredRequest> unanswered;
     std::vector<TimePoint> publishedAt; ///< of configuration version 1 and up
     Milliseconds longestDelay{0}; ///< of a configuration at undisturbed gateways
 };
@@ -43,11 +52,13 @@
     void connect();
     void send();
     void onResponse(const std::string &id, int kind, const Outcome<WireResponse> &outcome);
-    void checkSingle(const std::string &id, const WireResponse &response);
+    void checkSingle(const std::string &service, const std::string &id,
+                     const WireResponse &response);
     void checkQuery(const std::string &id, const WireResponse &response);
     void checkVersion(const WireResponse &response);
     void checkDelay(std::size_t version);
     void recordFailure(const std::string &id, const std::string &reason);
+    void recordUnanswered(const std::string &id);
     void reportViolation(const std::string &what, const std::string &id);
 
     boost::asio::io_context &m_context;
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -111,6 +111,8 @@
     setDisturbedUntil(Clock::now());
     if (number != SIGHUP)
         m_interruptedAt = Clock::now();
+    if (number == SIGKILL)
+        m_killedAt = Clock::now();
     if (m_pid > 0)
         ::kill(m_pid, number);
 }
--- a/test/soak/SoakGateway.h
+++ b/test/soak/SoakGateway.h
@@ -38,6 +38,8 @@
     /// \brief Records that a fault affects this gateway until \a end.
     void setDisturbedUntil(TimePoint end) { m_disturbedUntil = std::max(m_disturbedUntil, end); }
     TimePoint disturbedUntil() const { return m_disturbedUntil; }
+    /// \brief When this gateway was last killed without notice.
+    TimePoint killedAt() const { return m_killedAt; }
     /// \brief When this gateway was last started, paused, resumed or told to end.
     TimePoint interruptedAt() const { return m_interruptedAt; }
     bool isRunning() const { return m_pid > 0; }
@@ -66,6 +68,7 @@
     int m_reloads = 0;
     TimePoint m_disturbedUntil = Clock::now();
     TimePoint m_interruptedAt;
+    TimePoint m_killedAt = TimePoint::min();
 };
 
 } // namespace gwt::test
