Finish the requests in flight when a gateway stops

What callers saw: connections closed without a response to requests that had run, around a planned stop.

Cause: the process accepted connections until it ended, and ended early only when a poll found no connection busy. Each response closes its connection, so its caller opens the next one; with enough callers no poll finds a quiet moment, and at graceS - 0.5 s the event loop was stopped with everything in flight. The class: a drain whose end depends on the load ending by itself.

GracefulStop is a sequence of stages, each with its latest time (StopSchedule). The listener closes, with its queue accepted first, early enough for the requests of the last connections; from then on the number of open requests can only fall. What outlasts even that gets a response: 503 if it has not run, else 504, or the shards that have answered. Deadlines passed on end with the process, and a request that is not expected to finish is refused at once instead of being started. A connection that was just accepted has 200 ms for its first request.

GracefulStopTest (16 tests) is new: LateRequestTest needs the response at the end, connectionsInTheQueueAreServedWhenTheListenerCloses the accepted queue.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t maxReplyBytes = 32U << 20U;
 /// Retry-After of a process that has just started and has no configuration yet.
 constexpr Milliseconds startupRetryAfter{200};
+/// Retry-After of a process that is stopping; the others can serve the request at once.
+constexpr Milliseconds stopRetryAfter{20};
 
 std::optional<Milliseconds> readMilliseconds(std::string_view text)
 {
@@ -172,11 +174,17 @@
         limit = std::min(limit, std::max(*callerTimeout - deadlineMargin, *callerTimeout / 2));
         plan.waitedBefore = m_callerWaits.waitedBefore(route.name, *callerTimeout);
     }
-    plan.deadline = exchange->arrivedAt() + limit;
+    plan.deadline = std::min(exchange->arrivedAt() + limit, m_stopTime);
     plan.exchange = std::move(exchange);
     return plan;
 }
 
+bool GatewayCore::canFinish(const Route &route, TimePoint now) const
+{
+    return m_stopTime == TimePoint::max()
+        || now + m_hedges.typicalLatency(route.name, route.target) < m_stopTime;
+}
+
 void GatewayCore::handle(std::shared_ptr<CallerExchange> exchange)
 {
     const WireRequest &request = exchange->request();
@@ -194,6 +202,10 @@
         refuse(*exchange, 404, "no_route");
         return;
     }
+    if (!canFinish(*route, Clock::now())) {
+        refuse(*exchange, 503, "stopping", stopRetryAfter);
+        return;
+    }
     RequestPlan requestPlan = plan(std::move(exchange), *route);
     if (route->isShardQuery()) {
         std::make_shared<ShardQueryRun>(m_forwarding, std::move(requestPlan))->start();
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -28,6 +28,10 @@
     /// \brief The registry can be reached again after an outage.
     void onRegistryRecovery() override;
 
+    /// \brief Sets the time by which the process has responded to all requests. Later requests, and
+    /// those that can't be expected to finish by then, are refused.
+    void setStopTime(TimePoint end) { m_stopTime = end; }
+
     /// \brief Replaces the rules of the retry and hedging budget.
     void setRetryBudgetRules(RetryBudgetRules rules) { m_backends.setRetryBudgetRules(rules); }
 
@@ -48,6 +52,7 @@
     void applyBackends(const std::vector<BackendChange> &changes);
     void scheduleExpiry();
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
+    bool canFinish(const Route &route, TimePoint now) const;
     RequestPlan plan(std::shared_ptr<CallerExchange> exchange, const Route &route);
     void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
                 std::optional<Milliseconds> retryAfter = std::nullopt);
@@ -74,6 +79,7 @@
     RequestRecorder m_recorder;
     ForwardingContext m_forwarding;
     TimerQueue::Id m_expiryTimer;
+    TimePoint m_stopTime = TimePoint::max();
 };
 
 } // namespace gwt
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Milliseconds stopPollInterval{50};
 /// Five times the pause of a core that has used up its CPU quota and waits for the next period of
 /// 100 ms.
 constexpr Milliseconds stallThreshold{500};
@@ -20,8 +19,7 @@
 GatewayProcess::GatewayProcess(boost::asio::io_context &context, TimerQueue &timers,
                                GatewayCore &core, GatewayOptions options,
                                GatewayListeners listeners, Metrics &metrics)
-    : m_context(context)
-    , m_timers(timers)
+    : m_timers(timers)
     , m_core(core)
     , m_options(std::move(options))
     , m_listeners(std::move(listeners))
@@ -34,7 +32,8 @@
           CallerContext{timers, m_adminHandler, metrics, core.limits(), core.headerNames()})
     , m_stallDetector(stallThreshold)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
-    , m_shutdownTimeout(m_options.shutdownTimeout)
+    , m_stop(timers, core, m_callerServer, m_options.idleCloseDelay, m_options.shutdownTimeout,
+             [&context] { context.stop(); })
 { }
 
 Outcome<Done> GatewayProcess::start(std::function<void()> onReload, StatusProvider status)
@@ -82,59 +81,17 @@
         if (signal == SIGHUP)
             m_onReload();
         else
-            stop();
+            m_stop.begin();
         waitForSignal();
     });
 }
 
-void GatewayProcess::stop()
-{
-    if (m_isStopping)
-        return;
-    m_isStopping = true;
-    m_stopRequestedAt = Clock::now();
-    logInfo("stopping",
-            {{"connections", m_callerServer.connections()},
-             {"open_requests", m_callerServer.openRequests().size()}});
-    m_callerServer.drain();
-    m_timers.after(m_options.idleCloseDelay, [this] { stopWhenDrained(); });
-}
-
-void GatewayProcess::stopWhenDrained()
-{
-    m_callerServer.closeIdle();
-    const bool hasTimedOut = Clock::now() - m_stopRequestedAt >= m_shutdownTimeout;
-    if (m_callerServer.isDrained() || hasTimedOut) {
-        logStop();
-        m_context.stop();
-        return;
-    }
-    m_timers.after(stopPollInterval, [this] { stopWhenDrained(); });
-}
-
-void GatewayProcess::logStop()
-{
-    const std::vector<OpenRequest> cut = m_callerServer.openRequests();
-    for (const OpenRequest &request : cut) {
-        logWarning("request_cut",
-                   {{"id", request.id},
-                    {"stage", toString(request.stage)},
-                    {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(request.age).count()}});
-    }
-    const auto elapsed = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_stopRequestedAt);
-    logInfo("stopped",
-            {{"is_quiet", m_callerServer.isDrained() ? "yes" : "no"},
-             {"connections", m_callerServer.connections()},
-             {"cut", cut.size()},
-             {"elapsed_ms", elapsed.count()}});
-}
-
 void GatewayProcess::AdminHandler::handle(std::shared_ptr<CallerExchange> exchange)
 {
     const auto target = exchange->request().target();
     const std::string_view path(target.data(), target.size());
     if (path == m_process.m_listeners.readinessPath) {
-        const bool isReady = m_process.m_core.isReady() && !m_process.m_isStopping;
+        const bool isReady = m_process.m_core.isReady() && !m_process.m_stop.hasBegun();
         exchange->respond({isReady ? 200U : 503U, {}, ""});
         return;
     }
@@ -147,8 +104,8 @@
         const std::size_t query = path.find(serviceQuery);
         const std::string service(
             query == std::string_view::npos ? "" : path.substr(query + serviceQuery.size()));
-        const auto body
-            = boost::json::serialize(m_process.m_statusProvider(service, m_process.m_isStopping));
+        const auto body = boost::json::serialize(
+            m_process.m_statusProvider(service, m_process.m_stop.hasBegun()));
         exchange->respond({200, {{"Content-Type", "application/json"}}, body});
         return;
     }
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -2,6 +2,7 @@
 
 #include "common/StallDetector.h"
 #include "gateway/GatewayCore.h"
+#include "gateway/GracefulStop.h"
 #include "gateway/callers/CallerServer.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -35,7 +36,7 @@
     /// \brief Opens the listeners; \a onReload runs on SIGHUP. Errors: Unavailable "listen_failed".
     Outcome<Done> start(std::function<void()> onReload, StatusProvider status);
     /// \brief Sets the longest time that a graceful shutdown may take.
-    void setShutdownTimeout(Milliseconds timeout) { m_shutdownTimeout = timeout; }
+    void setShutdownTimeout(Milliseconds timeout) { m_stop.setLimit(timeout); }
 
 private:
     class AdminHandler : public RequestHandler
@@ -52,11 +53,7 @@
 
     void watchForStalls();
     void waitForSignal();
-    void stop();
-    void stopWhenDrained();
-    void logStop();
 
-    boost::asio::io_context &m_context;
     TimerQueue &m_timers;
     GatewayCore &m_core;
     const GatewayOptions m_options;
@@ -67,11 +64,9 @@
     CallerServer m_adminServer;
     StallDetector m_stallDetector;
     boost::asio::signal_set m_signals;
+    GracefulStop m_stop;
     std::function<void()> m_onReload;
     StatusProvider m_statusProvider;
-    Milliseconds m_shutdownTimeout;
-    TimePoint m_stopRequestedAt;
-    bool m_isStopping = false;
 };
 
 } // namespace gwt
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t readChunkBytes = 4096;
 /// Limit on buffered bytes of pipelined requests while one is being handled.
 constexpr std::size_t maxPipelinedBytes = 65536;
+/// From the connect to the first byte of a request, for a stopping process.
+constexpr Milliseconds firstRequestTime{200};
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 unsigned statusOf(const error_code &failure)
@@ -64,6 +66,7 @@
     void respond(CallerResponse response) override
     {
         m_disconnectHandler = nullptr;
+        m_stopHandler = nullptr;
         const auto connection = std::exchange(m_connection, nullptr);
         if (!connection || !connection->m_isOpen)
             return;
@@ -75,8 +78,19 @@
         if (m_connection)
             m_disconnectHandler = std::move(handler);
     }
+    void onStop(std::function<void()> handler) override
+    {
+        if (m_connection)
+            m_stopHandler = std::move(handler);
+    }
+    void notifyStop()
+    {
+        if (const auto handler = std::exchange(m_stopHandler, nullptr))
+            handler();
+    }
     void notifyDisconnect()
     {
+        m_stopHandler = nullptr;
         m_connection.reset();
         if (const auto handler = std::exchange(m_disconnectHandler, nullptr))
             handler();
@@ -88,6 +102,7 @@
     TimePoint m_arrivedAt;
     Duration m_networkTime;
     std::function<void()> m_disconnectHandler;
+    std::function<void()> m_stopHandler;
 };
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerContext &context)
@@ -326,11 +341,30 @@
 {
     if (!isBusy())
         close();
+    else if (isNew())
+        armTimeout(m_connectedAt + firstRequestTime);
+}
+
+void CallerConnection::endRequest()
+{
+    if (m_currentExchange) {
+        const auto exchange = m_currentExchange;
+        exchange->notifyStop();
+    } else if (m_hasRequestBytes && !m_isWriting) {
+        rejectRequest(503, "stopping", "stopping");
+    }
+}
+
+bool CallerConnection::isNew() const
+{
+    const bool hasHadRequest = m_roundTrip || m_currentExchange || m_isWriting || m_hasRequestBytes;
+    return !hasHadRequest && Clock::now() < m_connectedAt + firstRequestTime;
 }
 
 bool CallerConnection::isBusy()
 {
-    return m_currentExchange != nullptr || m_isWriting || m_hasRequestBytes || hasUnreadBytes();
+    return m_currentExchange != nullptr || m_isWriting || m_hasRequestBytes || isNew()
+        || hasUnreadBytes();
 }
 
 std::optional<OpenRequest> CallerConnection::openRequest()
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -25,6 +25,7 @@
     const RequestLimits &limits; ///< read anew for each request
     const HeaderNames &headerNames;
     bool isDraining = false; ///< each response closes its connection
+    bool isEnding = false; ///< the process is about to end
 };
 
 /// \brief One connection of a caller, which handles its requests one after the other.
@@ -39,14 +40,18 @@
     void start();
     /// \brief Closes the connection unless a request is being read, handled or answered.
     void closeIfIdle();
+    /// \brief Ends the request that is being received or handled with a response without a result.
+    void endRequest();
     bool isOpen() const { return m_isOpen; }
-    /// \brief True while a request is being read, handled or answered, or has arrived unread.
+    /// \brief True while a request is being read, handled or answered, or has arrived unread, and
+    /// for a short time after the connect, as the first request may be on its way.
     bool isBusy();
     /// \brief Returns the request that a close would cut off, if there is one.
     std::optional<OpenRequest> openRequest();
 
 private:
     bool hasUnreadBytes();
+    bool isNew() const;
     class Exchange;
     friend class Exchange;
 
@@ -73,6 +78,7 @@
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     std::shared_ptr<Exchange> m_currentExchange; ///< the request being handled; else null
     TimerQueue::Id m_timeout;
+    const TimePoint m_connectedAt = Clock::now();
     TimePoint m_arrivedAt;
     std::optional<Duration> m_roundTrip; ///< to the caller; measured at the first request
     std::optional<TransferTimeout> m_transferTimeout; ///< of a body read or a response written
--- a/src/gateway/callers/CallerExchange.h
+++ b/src/gateway/callers/CallerExchange.h
@@ -34,6 +34,9 @@
     virtual void respond(CallerResponse response) = 0;
     /// \brief Sets \a handler, which runs once if the caller disconnects before the response.
     virtual void onDisconnect(std::function<void()> handler) = 0;
+    /// \brief Sets \a handler, which runs once if the process has to end before the response. It
+    /// must call respond().
+    virtual void onStop(std::function<void()> handler) = 0;
 };
 
 /// \brief Handles requests of callers.
--- a/src/gateway/callers/CallerServer.cpp
+++ b/src/gateway/callers/CallerServer.cpp
@@ -32,23 +32,41 @@
 {
     m_acceptor.async_accept(
         [this](const boost::system::error_code &failure, boost::asio::ip::tcp::socket socket) {
-            if (failure == boost::asio::error::operation_aborted)
+            if (failure == boost::asio::error::operation_aborted || !m_acceptor.is_open())
                 return;
             if (failure) {
                 logWarning("accept_failed", {{"problem", failure.message()}});
                 m_callerContext.timers.after(acceptRetryDelay, [this] { accept(); });
                 return;
             }
-            const auto connection
-                = std::make_shared<CallerConnection>(std::move(socket), m_callerContext);
-            m_connections.push_back(connection);
-            if (m_connections.size() >= m_pruneThreshold)
-                prune();
-            connection->start();
+            start(std::move(socket));
             accept();
         });
 }
 
+void CallerServer::start(boost::asio::ip::tcp::socket socket)
+{
+    const auto connection = std::make_shared<CallerConnection>(std::move(socket), m_callerContext);
+    m_connections.push_back(connection);
+    if (m_connections.size() >= m_pruneThreshold)
+        prune();
+    connection->start();
+}
+
+void CallerServer::stopAccepting()
+{
+    // The callers in the queue are connected already; closing the listener would reset them.
+    boost::system::error_code failure;
+    m_acceptor.non_blocking(true, failure);
+    while (!failure) {
+        boost::asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, failure);
+        if (!failure)
+            start(std::move(socket));
+    }
+    m_acceptor.close(failure);
+}
+
 void CallerServer::prune()
 {
     m_connections.remove_if([](const auto &weak) {
@@ -58,32 +76,41 @@
     m_pruneThreshold = std::max(minPruneThreshold, 2 * m_connections.size());
 }
 
-void CallerServer::closeIdle()
+std::vector<std::shared_ptr<CallerConnection>> CallerServer::openConnections()
 {
     prune();
+    std::vector<std::shared_ptr<CallerConnection>> open;
     for (const auto &weak : m_connections) {
-        if (const auto connection = weak.lock())
-            connection->closeIfIdle();
+        if (auto connection = weak.lock())
+            open.push_back(std::move(connection));
     }
+    return open;
+}
+
+void CallerServer::closeIdle()
+{
+    for (const auto &connection : openConnections())
+        connection->closeIfIdle();
+}
+
+void CallerServer::endRequests()
+{
+    m_callerContext.isEnding = true;
+    for (const auto &connection : openConnections())
+        connection->endRequest();
 }
 
 bool CallerServer::isDrained()
 {
-    prune();
-    return std::none_of(m_connections.begin(), m_connections.end(), [](const auto &weak) {
-        const auto connection = weak.lock();
-        return connection && connection->isBusy();
-    });
+    const auto open = openConnections();
+    return std::none_of(open.begin(), open.end(),
+                        [](const auto &connection) { return connection->isBusy(); });
 }
 
 std::vector<OpenRequest> CallerServer::openRequests()
 {
-    prune();
     std::vector<OpenRequest> requests;
-    for (const auto &weak : m_connections) {
-        const auto connection = weak.lock();
-        if (!connection)
-            continue;
+    for (const auto &connection : openConnections()) {
         if (auto request = connection->openRequest())
             requests.push_back(std::move(*request));
     }
--- a/src/gateway/callers/CallerServer.h
+++ b/src/gateway/callers/CallerServer.h
@@ -21,8 +21,12 @@
     Outcome<Endpoint> listen(const Endpoint &local);
     /// \brief Closes each connection after its next response from now on; still accepts new ones.
     void drain() { m_callerContext.isDraining = true; }
+    /// \brief Accepts the connections that wait in the queue and closes the listener.
+    void stopAccepting();
     /// \brief Closes the connections on which no request is being read, handled or answered.
     void closeIdle();
+    /// \brief Ends each open request with a response without a result, as does each later one.
+    void endRequests();
     /// \brief True if no request is being handled or answered.
     bool isDrained();
     /// \brief The requests without a complete response.
@@ -32,6 +36,8 @@
 
 private:
     void accept();
+    void start(boost::asio::ip::tcp::socket socket);
+    std::vector<std::shared_ptr<CallerConnection>> openConnections();
     void prune();
 
     CallerContext m_callerContext;
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -61,6 +61,7 @@
     }
     const auto self = shared_from_this();
     m_plan.exchange->onDisconnect([self] { self->onCallerDisconnected(); });
+    m_plan.exchange->onStop([self] { self->endEarly(); });
     m_deadlineTimer
         = m_context.timers.at(m_plan.deadline, [self] { self->giveUp(504, "deadline"); });
     if (isOverdue()) {
@@ -282,6 +283,17 @@
     exchange->respond(makeRefusal(status, reason, backoff));
 }
 
+void ShardQueryRun::endEarly()
+{
+    if (m_isEnded)
+        return;
+    const ShardQuery &query = m_plan.route->query;
+    if (m_parts.size() >= PartialAnswerPolicy::minShards(query.shards.size(), query.minShare))
+        answer();
+    else
+        giveUp(504, "stopping");
+}
+
 void ShardQueryRun::onCallerDisconnected()
 {
     if (m_isEnded)
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -39,6 +39,8 @@
     /// \brief Fails the query with 503, or with \a statusIfRun if some backend server may have run
     /// it.
     void giveUp(unsigned statusIfRun, const std::string &reason);
+    /// \brief Responds now, with the shards that have answered if these are enough.
+    void endEarly();
     bool mayHaveRun() const;
     void refuse(const std::string &reason, std::size_t reachable);
     Milliseconds retryAfter(TimePoint now) const;
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -30,10 +30,8 @@
     }
     const auto self = shared_from_this();
     m_plan.exchange->onDisconnect([self] { self->onCallerDisconnected(); });
-    m_deadlineTimer = m_context.timers.at(m_plan.deadline, [self] {
-        const bool mayHaveRun = self->m_call && self->m_call->mayHaveRun();
-        self->fail(mayHaveRun ? 504 : 503, "deadline");
-    });
+    m_plan.exchange->onStop([self] { self->giveUp("stopping"); });
+    m_deadlineTimer = m_context.timers.at(m_plan.deadline, [self] { self->giveUp("deadline"); });
     if (m_plan.route->isIdempotent)
         scheduleHedge();
     m_call
@@ -98,6 +96,12 @@
     m_plan.exchange->respond(std::move(answer));
 }
 
+void SingleForward::giveUp(const std::string &reason)
+{
+    const bool mayHaveRun = m_call && m_call->mayHaveRun();
+    fail(mayHaveRun ? 504 : 503, reason);
+}
+
 void SingleForward::fail(unsigned status, const std::string &reason)
 {
     if (m_isEnded)
--- a/src/gateway/forwarding/SingleForward.h
+++ b/src/gateway/forwarding/SingleForward.h
@@ -15,6 +15,8 @@
 private:
     void onReply(ServiceReply reply);
     void answer(const WireResponse &response);
+    /// \brief Fails the request with 504 if it may have run, else with 503.
+    void giveUp(const std::string &reason);
     void fail(unsigned status, const std::string &reason);
     void scheduleHedge();
     void onCallerDisconnected();
--- /dev/null
+++ b/test/GracefulStopTest.cpp
@@ -0,0 +1,175 @@
+#include "GatewayFixture.h"
+
+#include "gateway/GracefulStop.h"
+
+namespace gwt::test {
+namespace {
+
+struct ScheduleCase
+{
+    std::string name;
+    Milliseconds limit;
+    StopSchedule expected;
+};
+
+class StopScheduleTest : public testing::TestWithParam<ScheduleCase>
+{ };
+
+TEST_P(StopScheduleTest, leavesTimeForTheLastRequestsAndResponses)
+{
+    const StopSchedule schedule = StopSchedule::within(GetParam().limit, 2500ms);
+    EXPECT_EQ(schedule.closeIdle, GetParam().expected.closeIdle);
+    EXPECT_EQ(schedule.closeListener, GetParam().expected.closeListener);
+    EXPECT_EQ(schedule.endRequests, GetParam().expected.endRequests);
+    EXPECT_EQ(schedule.exit, GetParam().expected.exit);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Limits, StopScheduleTest,
+    testing::Values(ScheduleCase{"usual", 5500ms, {2500ms, 3750ms, 5250ms, 5500ms}},
+                    ScheduleCase{"long", 30s, {2500ms, 28250ms, 29750ms, 30s}},
+                    ScheduleCase{"shorterThanTheAnnouncement", 2s, {875ms, 875ms, 1750ms, 2s}},
+                    ScheduleCase{"short", 400ms, {150ms, 150ms, 300ms, 400ms}},
+                    ScheduleCase{"none", 0ms, {0ms, 0ms, 0ms, 0ms}},
+                    ScheduleCase{"negative", -500ms, {0ms, 0ms, 0ms, 0ms}}),
+    [](const auto &info) { return info.param.name; });
+
+class GracefulStopTest : public GatewayTest
+{
+protected:
+    GracefulStopTest()
+        : m_stop(m_timers, m_core, m_callerServer, 50ms, 800ms, [this] { ++m_ends; })
+    { }
+
+    bool runUntilEnded()
+    {
+        return runUntil(
+            m_context, [this] { return m_ends > 0; }, 3s);
+    }
+
+    GracefulStop m_stop;
+    int m_ends = 0;
+};
+
+struct LateCase
+{
+    std::string name;
+    std::string path;
+    bool isIdempotent;
+    Milliseconds work; ///< of the backend servers; of one of two shards
+    unsigned status; ///< that the caller gets
+};
+
+class LateRequestTest : public GracefulStopTest, public testing::WithParamInterface<LateCase>
+{ };
+
+// Guards against requests in flight that get no response when a stopping process reaches its time
+// limit.
+TEST_P(LateRequestTest, getsAResponseBeforeTheProcessEnds)
+{
+    addServer("s", {okResponse("ok"), GetParam().work});
+    addServer("fast", {okResponse(std::string(16, 'f'))});
+    addServer("slow", {okResponse(std::string(16, 's')), GetParam().work});
+    addSingleRoute(GetParam().isIdempotent);
+    addQueryRoute({"fast", "slow"}, 0.5);
+    Route &all = addRoute("/whole/");
+    all.query = {{"fast", "slow"}, 2, 1.0};
+    for (Route &route : m_config.routes)
+        route.timeout = route.target = 5s;
+    start();
+    const auto caller = connect();
+    std::optional<Outcome<WireResponse>> result;
+    caller->exchange(request(GetParam().path), false, nullptr,
+                     [&](Outcome<WireResponse> outcome) { result = std::move(outcome); });
+    runFor(20ms);
+    m_stop.begin();
+    ASSERT_TRUE(runUntilEnded());
+    runFor(5ms);
+    ASSERT_TRUE(result) << "the process ended without a response";
+    ASSERT_TRUE(isOk(*result)) << errorOf(*result).reason;
+    EXPECT_EQ(valueOf(*result).result_int(), GetParam().status);
+    EXPECT_EQ(fieldOf(valueOf(*result), "Connection"), "close");
+    EXPECT_TRUE(m_callerServer.openRequests().empty());
+    EXPECT_EQ(m_ends, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, LateRequestTest,
+    testing::Values(LateCase{"finishesInTime", "/one/1", true, 300ms, 200},
+                    LateCase{"unsafeFinishesInTime", "/one/1", false, 300ms, 200},
+                    LateCase{"outlastsTheStop", "/one/1", true, 1500ms, 504},
+                    LateCase{"unsafeOutlastsTheStop", "/one/1", false, 1500ms, 504},
+                    LateCase{"queryWithEnoughShards", "/all/1", true, 1500ms, 200},
+                    LateCase{"queryWithTooFewShards", "/whole/1", true, 1500ms, 504}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against a process that new connections keep busy until its time limit.
+TEST_F(GracefulStopTest, endsBeforeItsLimitThoughCallersKeepConnecting)
+{
+    addServer("s", {okResponse("ok"), 30ms});
+    addSingleRoute(true);
+    start();
+    m_stop.begin();
+    int served = 0;
+    int refused = 0;
+    while (m_ends == 0 && served + refused < 1000) {
+        const Outcome<WireResponse> outcome = exchange(request("/one/1"));
+        const bool isServed = isOk(outcome) && valueOf(outcome).result_int() == 200;
+        ++(isServed ? served : refused);
+    }
+    EXPECT_GT(served, 0);
+    EXPECT_EQ(m_ends, 1);
+    EXPECT_TRUE(m_callerServer.openRequests().empty());
+}
+
+TEST_F(GracefulStopTest, refusesAtOnceWhatCannotFinishInTime)
+{
+    ScriptedServer &server = addServer("s", {okResponse("ok")});
+    addSingleRoute(true);
+    m_config.routes.front().target = 8s; // a tenth is expected before any was measured
+    start();
+    m_stop.begin();
+    const WireResponse response = sendRequest("/one/1");
+    EXPECT_EQ(response.result_int(), 503U);
+    EXPECT_EQ(response.body(), R"({"error":"stopping"})");
+    EXPECT_EQ(server.requests().size(), 0U);
+}
+
+TEST_F(GracefulStopTest, aSecondSignalChangesNothing)
+{
+    addServer("s", {okResponse("ok"), 200ms});
+    addSingleRoute(true);
+    start();
+    const auto caller = connect();
+    std::optional<Outcome<WireResponse>> result;
+    caller->exchange(request("/one/1"), false, nullptr,
+                     [&](Outcome<WireResponse> outcome) { result = std::move(outcome); });
+    runFor(20ms);
+    m_stop.begin();
+    runFor(100ms);
+    m_stop.begin();
+    ASSERT_TRUE(runUntilEnded());
+    ASSERT_TRUE(result && isOk(*result));
+    EXPECT_EQ(valueOf(*result).result_int(), 200U);
+}
+
+// Guards against connections that are reset because the process has not accepted them yet.
+TEST_F(GracefulStopTest, connectionsInTheQueueAreServedWhenTheListenerCloses)
+{
+    addServer("s", {okResponse("ok")});
+    addSingleRoute(true);
+    start();
+    auto caller = connectRaw(); // not accepted yet, as the context does not run
+    const std::string bytes = request("/one/1");
+    boost::asio::write(caller, boost::asio::buffer(bytes));
+    m_callerServer.stopAccepting();
+    std::string answer(12, ' ');
+    bool isAnswered = false;
+    boost::asio::async_read(caller, boost::asio::buffer(answer),
+                            [&](const auto &failure, std::size_t) { isAnswered = !failure; });
+    ASSERT_TRUE(runUntil(m_context, [&] { return isAnswered; }));
+    EXPECT_EQ(answer, "HTTP/1.1 200");
+}
+
+} // namespace
+} // namespace gwt::test
