Dispatch each pipelined request once

Cause, two faults of one connection: (1) the next request was begun by a posted function, and a read that completed before it dispatched the finished parser again; (2) a read was pending into the free part of the buffer whose waiting bytes were parsed meanwhile: consuming them all moved the buffer's start, and the bytes that then arrived were added to the old ones. Both come from a state spread over five flags and a buffer with two writers.

RequestStream parses bytes into requests and knows nothing of the connection; a read fills an array of its own and is appended when it has completed. CallerConnection has one state; only Receiving parses, only Handling has an exchange. What arrives while it lingers after its last response is discarded, so that its memory is bounded there (it grew without limit before).

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -25,6 +25,7 @@
 #include "gateway/callers/CallerExchange.h"
 #include "gateway/callers/CallerServer.h"
 #include "gateway/callers/OpenRequest.h"
+#include "gateway/callers/RequestStream.h"
 #include "gateway/forwarding/ForwardRequest.h"
 #include "gateway/forwarding/ForwardingContext.h"
 #include "gateway/forwarding/HeaderNames.h"
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t readChunkBytes = 4096;
 /// Limit on buffered bytes of pipelined requests while one is being handled.
 constexpr std::size_t maxPipelinedBytes = 65536;
 /// From the connect to the first byte of a request, for a stopping process.
@@ -68,9 +67,9 @@
         m_disconnectHandler = nullptr;
         m_stopHandler = nullptr;
         const auto connection = std::exchange(m_connection, nullptr);
-        if (!connection || !connection->m_isOpen)
+        if (!connection || !connection->isOpen())
             return;
-        const bool keepAlive = m_request.keep_alive() && !connection->m_context.isDraining;
+        const bool keepAlive = m_request.keep_alive() && connection->mayContinue();
         connection->write(response, m_request.method() == http::verb::head, keepAlive);
     }
     void onDisconnect(std::function<void()> handler) override
@@ -108,6 +107,7 @@
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerContext &context)
     : m_socket(std::move(socket))
     , m_context(context)
+    , m_requests(context.limits)
 { }
 
 void CallerConnection::start()
@@ -121,14 +121,11 @@
 
 void CallerConnection::awaitRequest()
 {
+    m_state = State::Receiving;
     m_hasRequestBytes = false;
     m_transferTimeout.reset();
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_context.limits.maxHeaderBytes));
-    m_parser->body_limit(m_context.limits.maxBodyBytes);
     armTimeout(Clock::now() + m_context.limits.idleTimeout);
-    parse();
+    receive();
 }
 
 void CallerConnection::armTimeout(TimePoint at)
@@ -152,13 +149,13 @@
 
 void CallerConnection::read()
 {
-    if (m_isReading || !m_isOpen)
-        return;
-    if (m_currentExchange && m_buffer.size() >= maxPipelinedBytes)
+    const bool isBetweenRequests = m_state == State::Handling || m_state == State::Responding;
+    if (m_isReading || m_state == State::Closed
+        || (isBetweenRequests && m_requests.waitingBytes() >= maxPipelinedBytes))
         return;
     m_isReading = true;
     m_socket.async_read_some(
-        m_buffer.prepare(readChunkBytes),
+        asio::buffer(m_readBuffer),
         [self = shared_from_this()](const error_code &failure, std::size_t count) {
             self->onRead(failure, count);
         });
@@ -167,76 +164,71 @@
 void CallerConnection::onRead(const error_code &failure, std::size_t count)
 {
     m_isReading = false;
-    if (!m_isOpen)
+    if (m_state == State::Closed)
         return;
     if (failure) {
         handleDisconnect();
         return;
     }
-    m_buffer.commit(count);
-    if (m_currentExchange || m_isWriting)
-        read();
+    if (m_state != State::Lingering)
+        m_requests.append(m_readBuffer.data(), count);
+    if (m_state == State::Receiving)
+        receive();
     else
-        parse();
+        read();
 }
 
-void CallerConnection::parse()
+void CallerConnection::receive()
 {
-    const std::size_t buffered = m_buffer.size();
-    while (m_buffer.size() > 0 && !m_parser->is_done()) {
-        if (!m_hasRequestBytes) {
-            m_hasRequestBytes = true;
-            m_arrivedAt = Clock::now();
-            armTimeout(m_arrivedAt + m_context.limits.headerTimeout);
-        }
-        const bool hadHeader = m_parser->is_header_done();
-        error_code failure;
-        m_buffer.consume(m_parser->put(m_buffer.data(), failure));
-        if (failure && failure != http::error::need_more) {
-            rejectMalformed(failure);
-            return;
-        }
-        if (!hadHeader && m_parser->is_header_done()) {
-            const bool wantsContinue
-                = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
-            error_code ignored;
-            if (wantsContinue && !m_parser->is_done())
-                m_socket.send(asio::buffer(continueResponse), 0, ignored);
-        }
-        if (failure == http::error::need_more)
-            break;
+    const std::size_t waiting = m_requests.waitingBytes();
+    if (waiting > 0 && !m_hasRequestBytes) {
+        m_hasRequestBytes = true;
+        m_arrivedAt = Clock::now();
+        armTimeout(m_arrivedAt + m_context.limits.headerTimeout);
     }
-    if (m_parser->is_done()) {
-        dispatch();
+    const RequestStream::Status status = m_requests.parse();
+    if (status == RequestStream::Status::Malformed) {
+        rejectMalformed(m_requests.failure());
         return;
     }
-    // The parser limits the header and the body, but not chunk headers and trailers.
-    if (m_buffer.size() > m_context.limits.maxHeaderBytes + readChunkBytes) {
-        rejectMalformed(http::error::header_limit);
+    if (status == RequestStream::Status::Complete) {
+        dispatch();
         return;
     }
-    if (m_parser->is_header_done())
-        armTransferTimeout(buffered - m_buffer.size()); // a body may be long, but must not stall
+    error_code ignored;
+    if (m_requests.takeContinueExpectation())
+        m_socket.send(asio::buffer(continueResponse), 0, ignored);
+    if (m_requests.isHeaderDone()) // a body may be long, but must not stall
+        armTransferTimeout(waiting - m_requests.waitingBytes());
     read();
 }
 
 void CallerConnection::onTimeout()
 {
-    if (m_currentExchange)
+    switch (m_state) {
+    case State::Handling:
+    case State::Closed:
         return;
-    if (m_isWriting) {
+    case State::Responding:
         m_context.metrics
             .counter("gwt_gateway_callers_stalled_total",
                      "Connections closed because the caller took too little of its answer")
             .Increment();
         logInfo("caller_stalled",
                 {{"id", m_responseRequestId}, {"written", m_written}, {"bytes", m_output.size()}});
+        close();
+        return;
+    case State::Lingering:
+        close();
+        return;
+    case State::Receiving:
+        break;
     }
-    if (m_isWriting || !m_hasRequestBytes) {
+    if (!m_hasRequestBytes) {
         close();
         return;
     }
-    const std::string reason = m_parser->is_header_done() ? "body_timeout" : "header_timeout";
+    const std::string reason = m_requests.isHeaderDone() ? "body_timeout" : "header_timeout";
     rejectRequest(408, reason, reason);
 }
 
@@ -247,8 +239,7 @@
         .counter("gwt_gateway_bad_requests_total", "Requests that could not be read",
                  {{"reason", reason}})
         .Increment();
-    const std::string id(
-        m_parser->is_header_done() ? m_parser->get()[m_context.headerNames.requestId] : "");
+    const std::string id = m_requests.field(m_context.headerNames.requestId);
     logInfo("bad_request", {{"id", id}, {"status", status}, {"problem", problem}});
     write({status, {}, ""}, false, false);
 }
@@ -265,11 +256,18 @@
     const bool isFirst = !m_roundTrip;
     if (isFirst)
         m_roundTrip = measureRoundTrip();
+    m_state = State::Handling;
     m_currentExchange
-        = std::make_shared<Exchange>(shared_from_this(), m_parser->release(), m_arrivedAt,
+        = std::make_shared<Exchange>(shared_from_this(), m_requests.take(), m_arrivedAt,
                                      isFirst ? 2 * *m_roundTrip : *m_roundTrip);
     read();
-    m_context.handler.handle(m_currentExchange);
+    const auto exchange = m_currentExchange;
+    m_context.handler.handle(exchange);
+}
+
+bool CallerConnection::mayContinue()
+{
+    return !m_context.isDraining;
 }
 
 void CallerConnection::write(const CallerResponse &response, bool isHead, bool keepAlive)
@@ -277,7 +275,7 @@
     m_responseRequestId
         = m_currentExchange ? m_currentExchange->request()[m_context.headerNames.requestId] : "";
     m_currentExchange.reset();
-    m_isWriting = true;
+    m_state = State::Responding;
     m_output = serialize(response, isHead, keepAlive);
     m_written = 0;
     m_transferTimeout.reset();
@@ -302,7 +300,7 @@
     armTransferTimeout(count);
     m_socket.async_wait(asio::ip::tcp::socket::wait_write,
                         [self = shared_from_this(), keepAlive](const error_code &code) {
-                            if (!self->m_isOpen)
+                            if (self->m_state == State::Closed)
                                 return;
                             if (code)
                                 self->close();
@@ -313,27 +311,25 @@
 
 void CallerConnection::onWritten(bool keepAlive)
 {
-    m_isWriting = false;
-    if (!m_isOpen)
-        return;
-    if (keepAlive) {
-        // Posted, so that a pipelined request isn't handled inside respond() of the one before.
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            if (self->m_isOpen && !self->m_currentExchange && !self->m_isWriting)
-                self->awaitRequest();
-        });
+    if (!keepAlive) {
+        linger();
         return;
     }
+    // Posted, so that a pipelined request isn't handled inside respond() of the one before.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_state == State::Responding)
+            self->awaitRequest();
+    });
+}
+
+void CallerConnection::linger()
+{
     // Closing with unread bytes would reset the connection, and the caller could lose the response:
     // keep reading until the caller closes, for a second at most.
+    m_state = State::Lingering;
     error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_isWriting = true;
-    const std::weak_ptr<CallerConnection> weak = weak_from_this();
-    m_timeout = m_context.timers.after(std::chrono::seconds(1), [weak] {
-        if (const auto self = weak.lock())
-            self->close();
-    });
+    armTimeout(Clock::now() + std::chrono::seconds(1));
     read();
 }
 
@@ -347,41 +343,40 @@
 
 void CallerConnection::endRequest()
 {
-    if (m_currentExchange) {
+    if (m_state == State::Handling) {
         const auto exchange = m_currentExchange;
         exchange->notifyStop();
-    } else if (m_hasRequestBytes && !m_isWriting) {
+    } else if (m_state == State::Receiving && m_hasRequestBytes) {
         rejectRequest(503, "stopping", "stopping");
     }
 }
 
 bool CallerConnection::isNew() const
 {
-    const bool hasHadRequest = m_roundTrip || m_currentExchange || m_isWriting || m_hasRequestBytes;
-    return !hasHadRequest && Clock::now() < m_connectedAt + firstRequestTime;
+    return m_state == State::Receiving && !m_hasRequestBytes && !m_roundTrip
+        && Clock::now() < m_connectedAt + firstRequestTime;
 }
 
 bool CallerConnection::isBusy()
 {
-    return m_currentExchange != nullptr || m_isWriting || m_hasRequestBytes || isNew()
-        || hasUnreadBytes();
+    return m_state != State::Receiving || m_hasRequestBytes || isNew() || hasUnreadBytes();
 }
 
 std::optional<OpenRequest> CallerConnection::openRequest()
 {
     const Duration age = Clock::now() - m_arrivedAt;
-    if (m_currentExchange) {
+    if (m_state == State::Handling) {
         const std::string id(m_currentExchange->request()[m_context.headerNames.requestId]);
         return OpenRequest{id, RequestStage::InFlight, age};
     }
-    if (m_isWriting) {
-        if (m_written == m_output.size())
-            return std::nullopt;
+    if (m_state == State::Responding && m_written < m_output.size())
         return OpenRequest{m_responseRequestId, RequestStage::Answering, age};
-    }
-    if (m_hasRequestBytes)
-        return OpenRequest{"", RequestStage::Receiving, age};
-    if (hasUnreadBytes())
+    if (m_state == State::Receiving && m_hasRequestBytes)
+        return OpenRequest{m_requests.field(m_context.headerNames.requestId),
+                           RequestStage::Receiving, age};
+    if (m_state == State::Lingering || m_state == State::Closed)
+        return std::nullopt;
+    if (m_requests.waitingBytes() > 0 || hasUnreadBytes())
         return OpenRequest{"", RequestStage::Receiving, Duration::zero()};
     return std::nullopt;
 }
@@ -410,7 +405,7 @@
 
 void CallerConnection::close()
 {
-    m_isOpen = false;
+    m_state = State::Closed;
     m_context.timers.cancel(m_timeout);
     error_code ignored;
     m_socket.close(ignored);
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -4,13 +4,14 @@
 #include "common/TimerQueue.h"
 #include "gateway/callers/CallerExchange.h"
 #include "gateway/callers/OpenRequest.h"
+#include "gateway/callers/RequestStream.h"
 #include "gateway/forwarding/HeaderNames.h"
 #include "gateway/policy/TransferTimeout.h"
 #include "gateway/routing/Route.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
+#include <array>
 #include <memory>
 #include <optional>
 
@@ -30,8 +31,9 @@
 
 /// \brief One connection of a caller, which handles its requests one after the other.
 ///
-/// A read is pending while a request is handled, so that a caller that disconnects is detected at
-/// once.
+/// Each request is dispatched once and answered once, in the order of arrival. A read is pending
+/// while a request is handled, so that a caller that disconnects is detected at once; what it reads
+/// waits, up to a limit.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -42,7 +44,7 @@
     void closeIfIdle();
     /// \brief Ends the request that is being received or handled with a response without a result.
     void endRequest();
-    bool isOpen() const { return m_isOpen; }
+    bool isOpen() const { return m_state != State::Closed; }
     /// \brief True while a request is being read, handled or answered, or has arrived unread, and
     /// for a short time after the connect, as the first request may be on its way.
     bool isBusy();
@@ -50,15 +52,24 @@
     std::optional<OpenRequest> openRequest();
 
 private:
-    bool hasUnreadBytes();
-    bool isNew() const;
     class Exchange;
     friend class Exchange;
+    enum class State {
+        Receiving, ///< waits for a request or reads it
+        Handling, ///< m_currentExchange isn't null
+        Responding, ///< the response is being written, or the next request not yet begun
+        Lingering, ///< the last response is written; what the caller still sends is discarded
+        Closed
+    };
 
+    bool hasUnreadBytes();
+    bool isNew() const;
+    /// \brief False if the next response closes the connection.
+    bool mayContinue();
     void awaitRequest();
     void read();
     void onRead(const boost::system::error_code &failure, std::size_t count);
-    void parse();
+    void receive();
     void armTimeout(TimePoint at);
     void armTransferTimeout(std::size_t bytes);
     void onTimeout();
@@ -68,14 +79,17 @@
     void write(const CallerResponse &response, bool isHead, bool keepAlive);
     void continueWrite(bool keepAlive);
     void onWritten(bool keepAlive);
+    void linger();
     void handleDisconnect();
     void close();
     Duration measureRoundTrip();
 
     boost::asio::ip::tcp::socket m_socket;
     CallerContext &m_context;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    State m_state = State::Receiving;
+    RequestStream m_requests;
+    /// Only reads write to it, as one may be pending while waiting bytes are parsed.
+    std::array<char, 4096> m_readBuffer{};
     std::shared_ptr<Exchange> m_currentExchange; ///< the request being handled; else null
     TimerQueue::Id m_timeout;
     const TimePoint m_connectedAt = Clock::now();
@@ -85,9 +99,7 @@
     std::string m_responseRequestId; ///< id of the request whose response is written
     std::string m_output;
     std::size_t m_written = 0; ///< bytes of m_output that have been sent
-    bool m_isOpen = true;
     bool m_isReading = false;
-    bool m_isWriting = false;
     bool m_hasRequestBytes = false; ///< bytes of the next request have arrived
 };
 
--- /dev/null
+++ b/src/gateway/callers/RequestStream.cpp
@@ -0,0 +1,90 @@
+#include "gateway/callers/RequestStream.h"
+
+#include "common/Assert.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace gwt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Beyond the limit of the header, for the parser leaves an incomplete chunk header or trailer
+/// unparsed.
+constexpr std::size_t unparsedSlack = 4096;
+
+} // namespace
+
+RequestStream::RequestStream(const RequestLimits &limits)
+    : m_limits(limits)
+{ }
+
+void RequestStream::append(const char *data, std::size_t size)
+{
+    m_waiting.commit(asio::buffer_copy(m_waiting.prepare(size), asio::buffer(data, size)));
+}
+
+void RequestStream::beginRequest()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->body_limit(m_limits.maxBodyBytes);
+}
+
+RequestStream::Status RequestStream::fail(const error_code &failure)
+{
+    m_failure = failure;
+    return Status::Malformed;
+}
+
+RequestStream::Status RequestStream::parse()
+{
+    if (m_failure)
+        return Status::Malformed;
+    if (!m_parser)
+        beginRequest();
+    const bool hadHeader = m_parser->is_header_done();
+    while (m_waiting.size() > 0 && !m_parser->is_done()) {
+        error_code failure;
+        m_waiting.consume(m_parser->put(m_waiting.data(), failure));
+        if (failure == http::error::need_more)
+            break;
+        if (failure)
+            return fail(failure);
+    }
+    if (m_parser->is_done())
+        return Status::Complete;
+    if (!hadHeader && m_parser->is_header_done())
+        m_expectsContinue
+            = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+    // The parser limits the header and the body, but not chunk headers and trailers.
+    if (m_waiting.size() > m_limits.maxHeaderBytes + unparsedSlack)
+        return fail(http::error::header_limit);
+    return Status::Incomplete;
+}
+
+WireRequest RequestStream::take()
+{
+    GWT_ASSERT(m_parser && m_parser->is_done(), "a request is taken once it is complete");
+    WireRequest request = m_parser->release();
+    m_parser.reset();
+    m_expectsContinue = false;
+    return request;
+}
+
+bool RequestStream::takeContinueExpectation()
+{
+    return std::exchange(m_expectsContinue, false);
+}
+
+std::string RequestStream::field(std::string_view name) const
+{
+    return isHeaderDone() ? std::string(m_parser->get()[{name.data(), name.size()}])
+                          : std::string();
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/callers/RequestStream.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gateway/forwarding/ForwardRequest.h"
+#include "gateway/routing/Route.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace gwt {
+
+/// \brief Splits the bytes of a connection into requests.
+///
+/// Each byte belongs to one request and each request is returned once, in order, however the bytes
+/// are split into reads. Bytes of later requests wait until the request before them was taken.
+class RequestStream
+{
+public:
+    enum class Status {
+        Incomplete, ///< needs more bytes
+        Complete, ///< a request can be taken
+        Malformed ///< see failure(); nothing more can be parsed
+    };
+
+    /// \brief \a limits must outlive the stream; they are read anew for each request.
+    explicit RequestStream(const RequestLimits &limits);
+
+    void append(const char *data, std::size_t size);
+    /// \brief Parses the waiting bytes up to the end of the next request.
+    Status parse();
+    /// \brief Returns the complete request; requires that parse() returned Complete.
+    WireRequest take();
+
+    /// \brief Number of bytes that haven't been parsed yet.
+    std::size_t waitingBytes() const { return m_waiting.size(); }
+    /// \brief True if the header of the next request has been parsed.
+    bool isHeaderDone() const { return m_parser && m_parser->is_header_done(); }
+    /// \brief True once for a request whose sender waits for "100 Continue" before the body.
+    bool takeContinueExpectation();
+    /// \brief Returns a field of the next request; empty until its header has been parsed.
+    std::string field(std::string_view name) const;
+    /// \brief The reason for Malformed, an error of Boost.Beast.
+    const boost::system::error_code &failure() const { return m_failure; }
+
+private:
+    void beginRequest();
+    Status fail(const boost::system::error_code &failure);
+
+    const RequestLimits &m_limits;
+    boost::beast::flat_buffer m_waiting;
+    /// Of the next request; empty before its first parse().
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    bool m_expectsContinue = false;
+    boost::system::error_code m_failure;
+};
+
+} // namespace gwt
