Answer pipelined requests before a stopping gateway closes the connection

Cause: a draining process closed each connection with its next response, also with further requests in its buffer or socket.

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -267,7 +267,10 @@
 
 bool CallerConnection::mayContinue()
 {
-    return !m_context.isDraining;
+    if (!m_context.isDraining)
+        return true;
+    // Requests that have arrived already are answered before the connection is closed.
+    return !m_context.isEnding && (m_requests.waitingBytes() > 0 || hasUnreadBytes());
 }
 
 void CallerConnection::write(const CallerResponse &response, bool isHead, bool keepAlive)
--- a/test/CallerPipelineTest.cpp
+++ b/test/CallerPipelineTest.cpp
@@ -170,7 +170,9 @@
                                      PipelineCase{"smallPieces", 60, 2ms, false},
                                      PipelineCase{"largePieces", 5000, 5ms, false},
                                      PipelineCase{"oneWrite", 100000, 0ms, false},
-                                     PipelineCase{"oneWriteLongWork", 100000, 20ms, false}),
+                                     PipelineCase{"oneWriteLongWork", 100000, 20ms, false},
+                                     PipelineCase{"smallPiecesAndAStop", 60, 2ms, true},
+                                     PipelineCase{"oneWriteAndAStop", 100000, 20ms, true}),
                      testing::Range(1, 6)),
     [](const auto &info) {
         return std::get<0>(info.param).name + std::to_string(std::get<1>(info.param));
