Answer pipelined requests before a stopping daemon closes the connection

Cause: HttpServer closed each connection with its next response once it drained, also with further requests in its buffer or socket.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -99,6 +99,7 @@
     Task<bool> awaitRequest(ConnectionPtr connection);
     void startConnection(tcp::socket socket);
     void closeListener();
+    bool mayContinue(const ConnectionPtr &connection) const;
     static void closeIfIdle(const ConnectionPtr &connection);
     void add(const ConnectionPtr &connection);
     void remove(const Connection *connection);
@@ -116,6 +117,19 @@
     std::atomic<int> connectionCount = 0;
 };
 
+/// \brief False if the next response on \a connection is the last one. While draining, requests
+/// that have arrived already are still answered.
+bool HttpServer::Impl::mayContinue(const ConnectionPtr &connection) const
+{
+    if (!isDraining || connection->buffer.size() > 0)
+        return true;
+    char byte = 0;
+    error_code failure;
+    tcp::socket &socket = connection->stream.socket();
+    socket.non_blocking(true, failure);
+    return socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure) > 0;
+}
+
 /// \brief Closes \a connection unless a request arrives within the idle grace period.
 void HttpServer::Impl::closeIfIdle(const ConnectionPtr &connection)
 {
@@ -269,10 +283,10 @@
     HttpRequest request = toRequest(std::move(message));
     request.isFirstOnConnection = std::exchange(connection->isFirstRequest, false);
     HttpResponse response = co_await runHandler(connection, std::move(request));
-    const bool mayContinue = keepAlive && !isDraining && !response.mustClose;
-    const bool isWritten = co_await write(connection, std::move(response), mayContinue);
+    const bool staysOpen = keepAlive && !response.mustClose && mayContinue(connection);
+    const bool isWritten = co_await write(connection, std::move(response), staysOpen);
     --inProgress;
-    co_return isWritten &&mayContinue;
+    co_return isWritten &&staysOpen;
 }
 
 /// \brief Discards the rest of a rejected request; closing with unread input would reset the
--- a/test/HttpDrainTest.cpp
+++ b/test/HttpDrainTest.cpp
@@ -2,6 +2,7 @@
 #include "http/HttpServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -110,6 +111,29 @@
     EXPECT_TRUE(isFinalResponse(receiveHead(socket)));
 }
 
+// Guards against requests that were sent before a stop and get no response, since the connection is
+// closed with the response to an earlier one.
+TEST_F(HttpDrainTest, pipelinedRequestsAreAnsweredAfterStop)
+{
+    constexpr int requests = 5;
+    blockWorker();
+    tcp::socket socket = connect();
+    for (int i = 0; i < requests; ++i)
+        send(socket, m_request);
+    m_server.stopAccepting();
+    m_release.set_value();
+    std::string text;
+    boost::system::error_code failure;
+    asio::read(socket, asio::dynamic_buffer(text), failure); // until the server closes
+    int answered = 0;
+    for (std::size_t at = text.find("200 OK"); at != std::string::npos;
+         at = text.find("200 OK", at + 1))
+        ++answered;
+    EXPECT_EQ(answered, requests) << text;
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(text.find("Connection: close"), text.rfind("Connection: close"));
+}
+
 TEST_F(HttpDrainTest, drainingServerAcceptsConnectionsAndClosesEachAfterItsResponse)
 {
     m_server.startDraining();
