Count each send that may have run as an attempt

Cause: a request whose new connection ended without a reply was taken for one that a server at its connection limit had not taken. That is a guess; it was not counted, so that a loss of another kind afterwards sent the request to a third server.

Now only proof frees an attempt: a reply that says so, or that nothing was sent. In place of the guess, a gateway that has seen a server close new connections within the last second sends nothing on the next one until the server has had 10 ms to close it. The price is 10 ms a new connection to such servers, and fewer second tries.

GatewayTest.aServerAtItsConnectionLimitIsRetriedWithPauses passes unchanged.

--- a/src/gateway/backends/BackendAttempt.h
+++ b/src/gateway/backends/BackendAttempt.h
@@ -39,8 +39,8 @@
     std::string backendId; ///< empty if it was never assigned to a server
     std::optional<WireResponse> response; ///< set with Answered and NotRun
     std::string reason; ///< metric label; set if there is no answer
-    /// The server closed a new connection without a reply: it seems to be at its connection limit,
-    /// and the request has most likely not run.
+    /// The server closed a new connection without a reply: it seems to be at its connection limit.
+    /// That is no proof that the request hasn't run.
     bool isAtConnectionLimit = false;
     Duration elapsed{0}; ///< from the send to the end
 };
--- a/src/gateway/backends/BackendServer.cpp
+++ b/src/gateway/backends/BackendServer.cpp
@@ -12,6 +12,8 @@
 /// a power loss it holds the connections of the lost processes until its idle timeout.
 constexpr Milliseconds minConnectBackoff{40};
 constexpr Milliseconds maxConnectBackoff{320};
+/// From the end of a backoff until the server counts as having room again.
+constexpr Milliseconds connectionLimitMemory{1000};
 
 } // namespace
 
@@ -61,6 +63,12 @@
     m_connectBackoffUntil = now + m_connectBackoff;
 }
 
+bool BackendServer::wasAtConnectionLimit(TimePoint now) const
+{
+    return m_connectBackoffUntil != TimePoint()
+        && now < m_connectBackoffUntil + connectionLimitMemory;
+}
+
 void BackendServer::endAttempt(TimePoint sentAt)
 {
     const auto attempt = m_sentTimes.find(sentAt);
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -54,6 +54,8 @@
     void backOffConnects(TimePoint now);
     /// \brief Resets the backoff of backOffConnects() after a reply.
     void resetConnectBackoff() { m_connectBackoff = Duration::zero(); }
+    /// \brief True if the server has closed new connections lately.
+    bool wasAtConnectionLimit(TimePoint now) const;
     TimePoint connectBackoffUntil() const { return m_connectBackoffUntil; }
 
     void beginAttempt(TimePoint now) { m_sentTimes.insert(now); }
@@ -69,7 +71,7 @@
     std::vector<std::shared_ptr<ClientConnection>> m_connections;
     std::multiset<TimePoint> m_sentTimes;
     int m_pendingConnects = 0;
-    TimePoint m_connectBackoffUntil;
+    TimePoint m_connectBackoffUntil; ///< epoch: the server was never at its limit
     Duration m_connectBackoff{0};
     bool m_isRetired = false;
 };
--- a/src/gateway/backends/ServerConnector.cpp
+++ b/src/gateway/backends/ServerConnector.cpp
@@ -9,6 +9,9 @@
 constexpr std::size_t maxReplyBytes = 8U << 20U;
 /// Covers round trip, handshake and the server's accept; after it the server counts as unreachable.
 constexpr Milliseconds connectTimeout{300};
+/// From the handshake until a server at its connection limit has closed the connection. A request
+/// that is sent before may be lost with it, and then counts as one that may have run.
+constexpr Milliseconds acceptTime{10};
 
 } // namespace
 
@@ -29,13 +32,12 @@
                                              ClientConnection::Probing::Off, &m_context.replyBytes);
     connection->connect(server->entry().address, connectTimeout,
                         [this, server, connection](const Outcome<Done> &outcome) {
-                            server->endConnect();
-                            if (isOk(outcome))
+                            if (isOk(outcome)) {
                                 onConnected(server, connection);
-                            else
-                                onFailed(*server, errorOf(outcome));
-                            if (!server->isUsable())
-                                server->closeIdleConnections();
+                                return;
+                            }
+                            server->endConnect();
+                            onFailed(*server, errorOf(outcome));
                             m_onChange();
                         });
 }
@@ -43,7 +45,6 @@
 void ServerConnector::onConnected(const std::shared_ptr<BackendServer> &server,
                                   const std::shared_ptr<ClientConnection> &connection)
 {
-    server->addConnection(connection);
     connection->onIdleClose([this, weak = std::weak_ptr(server), raw = connection.get()] {
         const auto owner = weak.lock();
         if (!owner)
@@ -52,6 +53,33 @@
             backOff(*owner);
         owner->removeConnection(raw);
     });
+    if (!server->wasAtConnectionLimit(Clock::now())) {
+        add(server, connection);
+        return;
+    }
+    m_context.timers.after(acceptTime,
+                           [this, server, connection] { addIfAccepted(server, connection); });
+}
+
+void ServerConnector::addIfAccepted(const std::shared_ptr<BackendServer> &server,
+                                    const std::shared_ptr<ClientConnection> &connection)
+{
+    if (connection->isOpen()) {
+        add(server, connection);
+        return;
+    }
+    server->endConnect();
+    m_onChange();
+}
+
+void ServerConnector::add(const std::shared_ptr<BackendServer> &server,
+                          const std::shared_ptr<ClientConnection> &connection)
+{
+    server->endConnect();
+    server->addConnection(connection);
+    if (!server->isUsable())
+        server->closeIdleConnections();
+    m_onChange();
 }
 
 void ServerConnector::onFailed(BackendServer &server, const Error &error)
--- a/src/gateway/backends/ServerConnector.h
+++ b/src/gateway/backends/ServerConnector.h
@@ -25,6 +25,11 @@
 private:
     void onConnected(const std::shared_ptr<BackendServer> &server,
                      const std::shared_ptr<ClientConnection> &connection);
+    /// \brief Adds \a connection once the server has had time to close it, unless it has.
+    void addIfAccepted(const std::shared_ptr<BackendServer> &server,
+                       const std::shared_ptr<ClientConnection> &connection);
+    void add(const std::shared_ptr<BackendServer> &server,
+             const std::shared_ptr<ClientConnection> &connection);
     void onFailed(BackendServer &server, const Error &error);
 
     PoolContext &m_context;
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -116,7 +116,7 @@
     const bool mayHaveRun
         = reply.result == AttemptResult::Answered || reply.result == AttemptResult::Unknown;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    if (mayHaveRun && !reply.isAtConnectionLimit)
+    if (mayHaveRun)
         ++m_countedAttempts;
     if (reply.result == AttemptResult::Answered && isSuccess(*reply.response)) {
         m_context.hedges.record(m_plan.route->name, reply.elapsed);
@@ -190,10 +190,8 @@
     if (!m_attempts.empty() || !spendRetryBudget(RetryKind::AfterFailure, now))
         return false;
     countRetry("over_limit");
-    // The request may have run after all, so it is sent to at most maxAttempts servers.
-    const bool mayAskAnother = static_cast<int>(m_triedServers.size()) < m_plan.route->maxAttempts
-        && m_pool.hasServer(now, m_triedServers);
-    send(mayAskAnother ? std::string() : reply.backendId);
+    // Unlike one that has failed, a server at its limit may be tried again.
+    send(m_pool.hasServer(now, m_triedServers) ? std::string() : reply.backendId);
     return true;
 }
 
