Ignore a failed probe of a member that was removed meanwhile

Suspected by the review, shown now: a process would end by an exception when another one had removed a silent member during its own probe of it.

Cause: recordProbe() noted the removed member as silent; dueSilentMember() looked it up among the members 20 s later, with at().

Evidence: MemberReaperRemovalTest fails on the code before (std::out_of_range) and passes now.

--- a/src/gateway/sharing/MemberReaper.cpp
+++ b/src/gateway/sharing/MemberReaper.cpp
@@ -47,6 +47,8 @@
         m_silentMembers.erase(member);
         return false;
     }
+    if (!m_members.contains(member)) // removed during the probe
+        return false;
     Silence &silence
         = m_silentMembers.try_emplace(member, Silence{now, now, 0, m_answerCount}).first->second;
     silence.probedAt = now;
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -76,6 +76,24 @@
         ReaperCase{"thisProcessIsCutOff", [](const auto &, Duration) { return false; }, {}}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against an exception that ends the process when the probe of a member fails after the
+// member was removed.
+TEST(MemberReaperRemovalTest, ignoresTheProbeOfARemovedMember)
+{
+    MemberReaper reaper("host-0");
+    reaper.setMembers(makeMembers(3));
+    const auto probed = reaper.nextMember(start);
+    ASSERT_TRUE(probed);
+    auto others = makeMembers(3);
+    std::erase_if(others, [&](const auto &member) { return member.name == probed->name; });
+    reaper.setMembers(others);
+    EXPECT_FALSE(reaper.recordProbe(probed->name, false, start + 1s));
+    for (Duration at = 2s; at < 60s; at += 1s) {
+        const auto next = reaper.nextMember(start + at);
+        EXPECT_TRUE(!next || next->name != probed->name);
+    }
+}
+
 /// Records the updates that it receives.
 class RecordingObserver : public StateObserver
 {
