--- a/src/gateway/policy/RetryBudget.h
+++ b/src/gateway/policy/RetryBudget.h
@@ -18,7 +18,7 @@
 {
     double ratio = 0.1; ///< hedges and retries per first send
     double extra = 0; ///< hedges and retries beyond the ratio, for the whole fleet
-    std::chrono::seconds window{10};
+    Milliseconds window{10'000};
     /// Share of the budget that hedges may use; docs/POLICY.md has the trials. 1 is the baseline
     /// that doesn't tell hedges from retries.
     double hedgeShare = 0.6;
