Replace a watch of backend servers that hangs alone within the drain limit

Cause: that watch waited for 8 s and 2 s more for a reply; the answered watch of the configuration was taken as the proof for both.

The wait now follows from the drain limit (bounds.drainMs): a third of it, with the reply margin of the configuration's watch, so that the new listing and two levels of processes fit.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -50,10 +50,10 @@
     gwt::GatewayProcess process(context, timers, core, options, listeners, metrics);
     gwt::FleetState state(core);
     const gwt::FleetMember self{settings.hostName, settings.peer, settings.availabilityZone};
-    const gwt::FreshnessLimits limits(settings.updateLimit);
+    const gwt::FreshnessLimits limits(settings.updateLimit, settings.drainLimit);
     const gwt::SharingOptions sharingOptions{self, settings.seeds, limits};
     gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state,
-                                     limits.watchWait());
+                                     limits.watchWait(), limits.backendWatchWait());
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
     gwt::platform::SettingsWatch watch(timers, path, settings,
                                        [&core, &process](const PlatformSettings &changed) {
--- a/src/gateway/sharing/FreshnessLimits.h
+++ b/src/gateway/sharing/FreshnessLimits.h
@@ -19,13 +19,18 @@
     static constexpr Milliseconds s_batchPause{30};
 
     /// \param updateLimit Time within which an update must be in force in every process.
-    explicit FreshnessLimits(Milliseconds updateLimit)
+    /// \param drainLimit Time within which no process may use a backend server that is leaving.
+    explicit FreshnessLimits(Milliseconds updateLimit, Milliseconds drainLimit = Milliseconds(3000))
         : m_updateLimit(updateLimit)
+        , m_drainLimit(drainLimit)
     { }
 
     Milliseconds updateLimit() const { return m_updateLimit; }
     /// \brief Longest wait of a watch of the registry for a change.
     Milliseconds watchWait() const { return m_updateLimit / 5; }
+    /// \brief Longest wait of a watch of the backend servers. One that hangs alone is replaced, and
+    /// the change passed on over two levels, within the drain limit.
+    Milliseconds backendWatchWait() const { return m_drainLimit / 3; }
     /// \brief Longest wait of a poll of another process for an update.
     Milliseconds pollWait() const { return m_updateLimit / 7; }
     /// \brief Registry age that a process \a hops levels below those that watch the registry does
@@ -38,6 +43,7 @@
 
 private:
     Milliseconds m_updateLimit;
+    Milliseconds m_drainLimit;
 };
 
 } // namespace gwt
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformFeed.h"
 
 #include "ScriptedServer.h"
+#include "gateway/sharing/FreshnessLimits.h"
 #include "standins/platform/FakePlatform.h"
 
 #include <gtest/gtest.h>
@@ -27,7 +28,7 @@
     PlatformFeedTest()
         : m_store(valueOf(m_platform.listen({"127.0.0.1", 0})))
         , m_feed(m_context, m_timers, m_metrics, m_store, {"host-a", {"127.0.0.1", 1}, "north"},
-                 m_state, 600ms)
+                 m_state, 600ms, 1s)
     { }
 
     bool joinAndRegister()
@@ -72,7 +73,7 @@
             : test::ScriptedReply{test::httpResponse(200, "", R"({"items":[],"asOf":5})")};
     });
     platform::PlatformFeed feed(m_context, m_timers, m_metrics, store.endpoint(),
-                                {"host-b", {"127.0.0.1", 1}, "north"}, m_state, 600ms);
+                                {"host-b", {"127.0.0.1", 1}, "north"}, m_state, 600ms, 1s);
     bool hasJoined = false;
     feed.join([&] { hasJoined = true; });
     EXPECT_TRUE(test::runUntil(
@@ -133,6 +134,34 @@
     EXPECT_TRUE(membersBecome(2));
 }
 
+// Guards against requests to leaving backend servers: the reply to a watch of the servers was lost,
+// while the store answers the watch of the configuration.
+TEST_F(PlatformFeedTest, aWatchOfTheBackendsThatHangsAloneIsReplacedInTime)
+{
+    int listings = 0;
+    test::ScriptedServer store(m_context, m_timers, [&](const test::ServerRequest &request) {
+        const std::string target(request.target());
+        const bool isWatch = target.find("watch=") != std::string::npos;
+        const bool isOfBackends = target.find("/servers") != std::string::npos;
+        if (isWatch && isOfBackends)
+            return test::ScriptedReply{};
+        if (isWatch)
+            return test::ScriptedReply{test::httpResponse(200, "", R"({"events":[],"asOf":5})"),
+                                       500ms};
+        listings += isOfBackends ? 1 : 0;
+        return test::ScriptedReply{test::httpResponse(200, "", R"({"items":[],"asOf":5})")};
+    });
+    const FreshnessLimits limits(3000ms, 3000ms);
+    platform::PlatformFeed feed(m_context, m_timers, m_metrics, store.endpoint(),
+                                {"host-b", {"127.0.0.1", 1}, "north"}, m_state, limits.watchWait(),
+                                limits.backendWatchWait());
+    feed.startWatching();
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return listings == 1; }));
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return listings > 1; }, 2s));
+    feed.stopWatching();
+}
+
 TEST_F(PlatformFeedTest, removedRegistrationIsRestoredByRejoining)
 {
     ASSERT_TRUE(joinAndRegister());
--- a/test/UpdateDelayTest.cpp
+++ b/test/UpdateDelayTest.cpp
@@ -38,7 +38,8 @@
             const FreshnessLimits &limits)
         : timers(context)
         , proxy(proxyContext, proxyTimers, store)
-        , feed(context, timers, metrics, proxy.endpoint(), self, state, limits.watchWait())
+        , feed(context, timers, metrics, proxy.endpoint(), self, state, limits.watchWait(),
+               limits.backendWatchWait())
         , sharing(context, SharingOptions{self, {}, limits}, state, feed, metrics)
     { }
 
