Make one transition a poll in a graceful stop

Found by the review: after a stall of the process past several stages, all of them ran in one poll, so that callers taken from the accept queue were cut before anything they had sent was read.

Each poll now makes one transition, and what it has accepted or ended is handled before the next.

--- a/src/gateway/GracefulStop.cpp
+++ b/src/gateway/GracefulStop.cpp
@@ -2,6 +2,8 @@
 
 #include "common/Log.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 namespace {
@@ -37,10 +39,12 @@
 /// One transition from each stage, beginning with Announcing. EndingRequests is skipped if all
 /// requests finish before.
 const std::array<GracefulStop::Transition, 4> GracefulStop::s_transitions{{
-    {StopStage::ClosingIdle, &StopSchedule::closeIdle, false, &GracefulStop::closeIdle},
-    {StopStage::Finishing, &StopSchedule::closeListener, true, &GracefulStop::closeListener},
-    {StopStage::EndingRequests, &StopSchedule::endRequests, false, &GracefulStop::endRequests},
-    {StopStage::Ended, &StopSchedule::exit, true, &GracefulStop::end},
+    {StopStage::ClosingIdle, &StopSchedule::closeIdle, StopStage::Ended, &GracefulStop::closeIdle},
+    {StopStage::Finishing, &StopSchedule::closeListener, StopStage::ClosingIdle,
+     &GracefulStop::closeListener},
+    {StopStage::EndingRequests, &StopSchedule::endRequests, StopStage::Ended,
+     &GracefulStop::endRequests},
+    {StopStage::Ended, &StopSchedule::exit, StopStage::Finishing, &GracefulStop::end},
 }};
 
 GracefulStop::GracefulStop(TimerQueue &timers, GatewayCore &core, CallerServer &callers,
@@ -85,22 +89,23 @@
 {
     if (m_stage != StopStage::Announcing)
         m_callers.closeIdle();
-    for (const Transition &transition : s_transitions) {
-        if (transition.next > m_stage && isDue(transition))
-            enter(transition);
-    }
+    // One transition a poll: if several are overdue after a stall, what one of them has read or
+    // accepted is handled before the next.
+    const auto due = std::find_if(s_transitions.begin(), s_transitions.end(),
+                                  [this](const Transition &each) { return isDue(each); });
+    if (due != s_transitions.end())
+        enter(*due);
     if (m_stage != StopStage::Ended)
         m_timers.after(pollInterval, [this] { poll(); });
 }
 
 bool GracefulStop::isDue(const Transition &transition)
 {
+    if (transition.next <= m_stage)
+        return false;
     if (Clock::now() - m_begunAt >= m_schedule.*transition.latest)
         return true;
-    // Only the listener may be closed by a drained server that still accepts.
-    const bool follows = transition.next == StopStage::Finishing ? m_stage == StopStage::ClosingIdle
-                                                                 : m_stage >= StopStage::Finishing;
-    return transition.whenDrained && follows && m_callers.isDrained();
+    return m_stage >= transition.drainedFrom && m_callers.isDrained();
 }
 
 void GracefulStop::enter(const Transition &transition)
--- a/src/gateway/GracefulStop.h
+++ b/src/gateway/GracefulStop.h
@@ -13,7 +13,7 @@
 /// \brief Stage of a graceful stop.
 enum class StopStage {
     Serving, ///< the stop has not begun
-    Announcing, ///< each response closes its connection; new connections are served
+    Announcing, ///< responses close their connections; new connections are served
     ClosingIdle, ///< also closes idle connections
     Finishing, ///< the listener is closed; the requests of open connections are finished
     EndingRequests, ///< requests still open have got a response without a result
@@ -46,8 +46,8 @@
     {
         StopStage next;
         Milliseconds StopSchedule::*latest; ///< when it is due at the latest
-        /// If set, it is due as soon as the connections are drained.
-        bool whenDrained;
+        /// The stage from which on it is due as soon as the connections are drained; Ended: never.
+        StopStage drainedFrom;
         void (GracefulStop::*action)();
     };
     static const std::array<Transition, 4> s_transitions;
