Keep the caller's deadline during a stop

Found by the review: requests that arrived during a stop had the end of the stop as their deadline. A query with enough shards then ended with 504 "deadline" before the stop could answer with these shards, and a grace period raised during the stop came too late for them.

The stop ends requests by onStop() alone; canFinish() still refuses what is not expected to finish.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -174,7 +174,7 @@
         limit = std::min(limit, std::max(*callerTimeout - deadlineMargin, *callerTimeout / 2));
         plan.waitedBefore = m_callerWaits.waitedBefore(route.name, *callerTimeout);
     }
-    plan.deadline = std::min(exchange->arrivedAt() + limit, m_stopTime);
+    plan.deadline = exchange->arrivedAt() + limit;
     plan.exchange = std::move(exchange);
     return plan;
 }
