Answer the requests that a stopping gateway did not see

Reads now wait for the socket to be readable and take the bytes in their handler, so that waiting bytes are always seen; a completed accept always starts its connection; requests that have arrived are refused one by one at the end (503, not run). Empty lines between requests no longer count as a request (they got a 400). A request that had not arrived whole has its own event and counter (request_ended) instead of bad_request. A caller that closes its side while a response is written gets the rest of it.

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -2,6 +2,8 @@
 
 #include "common/Log.h"
 
+#include <array>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -154,24 +156,33 @@
         || (isBetweenRequests && m_requests.waitingBytes() >= maxPipelinedBytes))
         return;
     m_isReading = true;
-    m_socket.async_read_some(
-        asio::buffer(m_readBuffer),
-        [self = shared_from_this()](const error_code &failure, std::size_t count) {
-            self->onRead(failure, count);
-        });
+    // Bytes stay in the socket until they are handled, where hasUnreadBytes() sees them.
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const error_code &) { self->onReadable(); });
 }
 
-void CallerConnection::onRead(const error_code &failure, std::size_t count)
+void CallerConnection::onReadable()
 {
     m_isReading = false;
     if (m_state == State::Closed)
         return;
+    std::array<char, 4096> bytes;
+    error_code failure;
+    const std::size_t count = m_socket.read_some(asio::buffer(bytes), failure);
+    if (failure == asio::error::would_block) {
+        read();
+        return;
+    }
+    if (failure == asio::error::eof && m_state == State::Responding) {
+        m_isHalfClosed = true;
+        return;
+    }
     if (failure) {
         handleDisconnect();
         return;
     }
     if (m_state != State::Lingering)
-        m_requests.append(m_readBuffer.data(), count);
+        m_requests.append(bytes.data(), count);
     if (m_state == State::Receiving)
         receive();
     else
@@ -180,6 +191,7 @@
 
 void CallerConnection::receive()
 {
+    m_requests.skipEmptyLines();
     const std::size_t waiting = m_requests.waitingBytes();
     if (waiting > 0 && !m_hasRequestBytes) {
         m_hasRequestBytes = true;
@@ -225,7 +237,8 @@
         break;
     }
     if (!m_hasRequestBytes) {
-        close();
+        if (!hasUnreadBytes())
+            close();
         return;
     }
     const std::string reason = m_requests.isHeaderDone() ? "body_timeout" : "header_timeout";
@@ -270,7 +283,8 @@
     if (!m_context.isDraining)
         return true;
     // Requests that have arrived already are answered before the connection is closed.
-    return !m_context.isEnding && (m_requests.waitingBytes() > 0 || hasUnreadBytes());
+    m_requests.skipEmptyLines();
+    return m_requests.waitingBytes() > 0 || hasUnreadBytes();
 }
 
 void CallerConnection::write(const CallerResponse &response, bool isHead, bool keepAlive)
@@ -314,6 +328,10 @@
 
 void CallerConnection::onWritten(bool keepAlive)
 {
+    if (m_isHalfClosed && m_requests.waitingBytes() == 0) {
+        close();
+        return;
+    }
     if (!keepAlive) {
         linger();
         return;
@@ -350,7 +368,12 @@
         const auto exchange = m_currentExchange;
         exchange->notifyStop();
     } else if (m_state == State::Receiving && m_hasRequestBytes) {
-        rejectRequest(503, "stopping", "stopping");
+        logInfo("request_ended", {{"id", m_requests.field(m_context.headerNames.requestId)}});
+        m_context.metrics
+            .counter("gwt_gateway_requests_ended_total",
+                     "Requests refused by a stopping process before they had arrived whole")
+            .Increment();
+        write({503, {}, ""}, false, false);
     }
 }
 
@@ -365,23 +388,23 @@
     return m_state != State::Receiving || m_hasRequestBytes || isNew() || hasUnreadBytes();
 }
 
-std::optional<OpenRequest> CallerConnection::openRequest()
+void CallerConnection::appendOpenRequests(std::vector<OpenRequest> &requests)
 {
+    if (m_state == State::Lingering || m_state == State::Closed)
+        return;
     const Duration age = Clock::now() - m_arrivedAt;
+    const bool isReceiving = m_state == State::Receiving && m_hasRequestBytes;
     if (m_state == State::Handling) {
         const std::string id(m_currentExchange->request()[m_context.headerNames.requestId]);
-        return OpenRequest{id, RequestStage::InFlight, age};
+        requests.push_back({id, RequestStage::InFlight, age});
+    } else if (m_state == State::Responding && m_written < m_output.size()) {
+        requests.push_back({m_responseRequestId, RequestStage::Answering, age});
+    } else if (isReceiving) {
+        const std::string id = m_requests.field(m_context.headerNames.requestId);
+        requests.push_back({id, RequestStage::Receiving, age});
     }
-    if (m_state == State::Responding && m_written < m_output.size())
-        return OpenRequest{m_responseRequestId, RequestStage::Answering, age};
-    if (m_state == State::Receiving && m_hasRequestBytes)
-        return OpenRequest{m_requests.field(m_context.headerNames.requestId),
-                           RequestStage::Receiving, age};
-    if (m_state == State::Lingering || m_state == State::Closed)
-        return std::nullopt;
-    if (m_requests.waitingBytes() > 0 || hasUnreadBytes())
-        return OpenRequest{"", RequestStage::Receiving, Duration::zero()};
-    return std::nullopt;
+    if (!isReceiving && (m_requests.waitingBytes() > 0 || hasUnreadBytes()))
+        requests.push_back({"", RequestStage::Receiving, Duration::zero()});
 }
 
 bool CallerConnection::hasUnreadBytes()
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -11,9 +11,9 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace gwt {
 
@@ -25,15 +25,15 @@
     Metrics &metrics;
     const RequestLimits &limits; ///< read anew for each request
     const HeaderNames &headerNames;
-    bool isDraining = false; ///< each response closes its connection
-    bool isEnding = false; ///< the process is about to end
+    /// The response to the last request that has arrived closes its connection.
+    bool isDraining = false;
 };
 
 /// \brief One connection of a caller, which handles its requests one after the other.
 ///
-/// Each request is dispatched once and answered once, in the order of arrival. A read is pending
-/// while a request is handled, so that a caller that disconnects is detected at once; what it reads
-/// waits, up to a limit.
+/// Each request is dispatched once and answered once, in the order of arrival. Input is read while
+/// a request is handled, so that a caller that disconnects is detected at once; what is read waits,
+/// up to a limit.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -48,8 +48,9 @@
     /// \brief True while a request is being read, handled or answered, or has arrived unread, and
     /// for a short time after the connect, as the first request may be on its way.
     bool isBusy();
-    /// \brief Returns the request that a close would cut off, if there is one.
-    std::optional<OpenRequest> openRequest();
+    /// \brief Appends the requests that a close would cut off to \a requests; those that have
+    /// arrived behind another one count as one.
+    void appendOpenRequests(std::vector<OpenRequest> &requests);
 
 private:
     class Exchange;
@@ -68,7 +69,7 @@
     bool mayContinue();
     void awaitRequest();
     void read();
-    void onRead(const boost::system::error_code &failure, std::size_t count);
+    void onReadable();
     void receive();
     void armTimeout(TimePoint at);
     void armTransferTimeout(std::size_t bytes);
@@ -88,8 +89,6 @@
     CallerContext &m_context;
     State m_state = State::Receiving;
     RequestStream m_requests;
-    /// Only reads write to it, as one may be pending while waiting bytes are parsed.
-    std::array<char, 4096> m_readBuffer{};
     std::shared_ptr<Exchange> m_currentExchange; ///< the request being handled; else null
     TimerQueue::Id m_timeout;
     const TimePoint m_connectedAt = Clock::now();
@@ -100,6 +99,7 @@
     std::string m_output;
     std::size_t m_written = 0; ///< bytes of m_output that have been sent
     bool m_isReading = false;
+    bool m_isHalfClosed = false; ///< the caller has closed its side while a response was written
     bool m_hasRequestBytes = false; ///< bytes of the next request have arrived
 };
 
--- a/src/gateway/callers/CallerServer.cpp
+++ b/src/gateway/callers/CallerServer.cpp
@@ -32,14 +32,16 @@
 {
     m_acceptor.async_accept(
         [this](const boost::system::error_code &failure, boost::asio::ip::tcp::socket socket) {
-            if (failure == boost::asio::error::operation_aborted || !m_acceptor.is_open())
+            // An accept that had completed when the listener was closed still brings its caller.
+            if (!failure)
+                start(std::move(socket));
+            if (!m_acceptor.is_open())
                 return;
             if (failure) {
                 logWarning("accept_failed", {{"problem", failure.message()}});
                 m_callerContext.timers.after(acceptRetryDelay, [this] { accept(); });
                 return;
             }
-            start(std::move(socket));
             accept();
         });
 }
@@ -95,7 +97,6 @@
 
 void CallerServer::endRequests()
 {
-    m_callerContext.isEnding = true;
     for (const auto &connection : openConnections())
         connection->endRequest();
 }
@@ -111,8 +112,7 @@
 {
     std::vector<OpenRequest> requests;
     for (const auto &connection : openConnections()) {
-        if (auto request = connection->openRequest())
-            requests.push_back(std::move(*request));
+        connection->appendOpenRequests(requests);
     }
     return requests;
 }
--- a/src/gateway/callers/CallerServer.h
+++ b/src/gateway/callers/CallerServer.h
@@ -19,13 +19,15 @@
 
     /// \brief Errors: Unavailable "listen_failed".
     Outcome<Endpoint> listen(const Endpoint &local);
-    /// \brief Closes each connection after its next response from now on; still accepts new ones.
+    /// \brief Closes each connection from now on after the response to the last request that has
+    /// arrived; still accepts new connections.
     void drain() { m_callerContext.isDraining = true; }
     /// \brief Accepts the connections that wait in the queue and closes the listener.
     void stopAccepting();
     /// \brief Closes the connections on which no request is being read, handled or answered.
     void closeIdle();
-    /// \brief Ends each open request with a response without a result, as does each later one.
+    /// \brief Ends each request that is open now with a response without a result. Later ones are
+    /// refused by the handler, which knows the stop time.
     void endRequests();
     /// \brief True if no request is being handled or answered.
     bool isDrained();
--- a/src/gateway/callers/RequestStream.cpp
+++ b/src/gateway/callers/RequestStream.cpp
@@ -41,6 +41,18 @@
     return Status::Malformed;
 }
 
+void RequestStream::skipEmptyLines()
+{
+    if (m_parser && m_parser->got_some())
+        return;
+    const auto startsWithEmptyLine = [this] {
+        const auto bytes = static_cast<const char *>(m_waiting.data().data());
+        return m_waiting.size() >= 2 && bytes[0] == '\r' && bytes[1] == '\n';
+    };
+    while (startsWithEmptyLine())
+        m_waiting.consume(2);
+}
+
 RequestStream::Status RequestStream::parse()
 {
     if (m_failure)
--- a/src/gateway/callers/RequestStream.h
+++ b/src/gateway/callers/RequestStream.h
@@ -30,6 +30,8 @@
     explicit RequestStream(const RequestLimits &limits);
 
     void append(const char *data, std::size_t size);
+    /// \brief Discards empty lines before a request, which some callers send after a body.
+    void skipEmptyLines();
     /// \brief Parses the waiting bytes up to the end of the next request.
     Status parse();
     /// \brief Returns the complete request; requires that parse() returned Complete.
--- a/test/CallerPipelineTest.cpp
+++ b/test/CallerPipelineTest.cpp
@@ -95,7 +95,8 @@
     case 1:
         return "POST" + head + "Transfer-Encoding: chunked\r\n\r\n14\r\n" + body + "\r\n0\r\n\r\n";
     case 2:
-        return "POST" + head + "Expect: 100-continue\r\nContent-Length: 20\r\n\r\n" + body;
+        return "POST" + head + "Expect: 100-continue\r\nContent-Length: 20\r\n\r\n" + body
+            + "\r\n"; // an empty line before the next request is ignored
     default:
         return "POST" + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
--- a/test/GracefulStopTest.cpp
+++ b/test/GracefulStopTest.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/GracefulStop.h"
 
+#include <thread>
+
 namespace gwt::test {
 namespace {
 
@@ -58,6 +60,7 @@
     bool isIdempotent;
     Milliseconds work; ///< of the backend servers; of one of two shards
     unsigned status; ///< that the caller gets
+    bool isSentAfterSignal = false;
 };
 
 class LateRequestTest : public GracefulStopTest, public testing::WithParamInterface<LateCase>
@@ -75,9 +78,11 @@
     Route &all = addRoute("/whole/");
     all.query = {{"fast", "slow"}, 2, 1.0};
     for (Route &route : m_config.routes)
-        route.timeout = route.target = 5s;
+        route.timeout = route.target = 5s; // a tenth is the expected latency
     start();
     const auto caller = connect();
+    if (GetParam().isSentAfterSignal)
+        m_stop.begin();
     std::optional<Outcome<WireResponse>> result;
     caller->exchange(request(GetParam().path), false, nullptr,
                      [&](Outcome<WireResponse> outcome) { result = std::move(outcome); });
@@ -100,7 +105,10 @@
                     LateCase{"outlastsTheStop", "/one/1", true, 1500ms, 504},
                     LateCase{"unsafeOutlastsTheStop", "/one/1", false, 1500ms, 504},
                     LateCase{"queryWithEnoughShards", "/all/1", true, 1500ms, 200},
-                    LateCase{"queryWithTooFewShards", "/whole/1", true, 1500ms, 504}),
+                    LateCase{"queryWithTooFewShards", "/whole/1", true, 1500ms, 504},
+                    LateCase{"sentAfterTheSignal", "/one/1", true, 1500ms, 504, true},
+                    LateCase{"queryAfterTheSignal", "/all/1", true, 1500ms, 200, true},
+                    LateCase{"tooFewShardsAfterTheSignal", "/whole/1", true, 1500ms, 504, true}),
     [](const auto &info) { return info.param.name; });
 
 // Guards against a process that new connections keep busy until its time limit.
@@ -153,23 +161,121 @@
     EXPECT_EQ(valueOf(*result).result_int(), 200U);
 }
 
-// Guards against connections that are reset because the process has not accepted them yet.
-TEST_F(GracefulStopTest, connectionsInTheQueueAreServedWhenTheListenerCloses)
+TEST_F(GracefulStopTest, aLongerLimitDuringTheStopLetsRequestsFinish)
+{
+    addServer("s", {okResponse("ok"), 1200ms});
+    addSingleRoute(true);
+    start();
+    const auto caller = connect();
+    m_stop.begin();
+    std::optional<Outcome<WireResponse>> result;
+    caller->exchange(request("/one/1"), false, nullptr,
+                     [&](Outcome<WireResponse> outcome) { result = std::move(outcome); });
+    runFor(20ms);
+    m_stop.setLimit(4s);
+    ASSERT_TRUE(runUntil(m_context, [&] { return result.has_value(); }));
+    ASSERT_TRUE(isOk(*result));
+    EXPECT_EQ(valueOf(*result).result_int(), 200U);
+}
+
+struct QueueCase
+{
+    std::string name;
+    int callers;
+    std::size_t requests; ///< of each caller, in one write
+    Milliseconds work; ///< of the backend server
+    Duration stall; ///< of the process, before it accepts the callers
+};
+
+class WaitingRequestTest : public GracefulStopTest, public testing::WithParamInterface<QueueCase>
+{ };
+
+// Guards against requests without a response that wait where a stopping process does not look: in
+// the accept queue, in an accept that has completed, behind another request, or through a stall.
+TEST_P(WaitingRequestTest, getsAResponseBeforeTheProcessEnds)
+{
+    const QueueCase &waiting = GetParam();
+    addServer("s", {okResponse("ok"), waiting.work});
+    addSingleRoute(true);
+    start();
+    m_stop.begin();
+    std::string bytes;
+    for (std::size_t i = 0; i < waiting.requests; ++i)
+        bytes += request("/one/1");
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    callers.reserve(static_cast<std::size_t>(waiting.callers)); // reads refer to the sockets
+    std::vector<std::string> received(static_cast<std::size_t>(waiting.callers));
+    for (std::string &text : received) {
+        callers.push_back(connectRaw());
+        boost::asio::write(callers.back(), boost::asio::buffer(bytes));
+        boost::asio::async_read(callers.back(), boost::asio::dynamic_buffer(text),
+                                [](const auto &, std::size_t) {});
+    }
+    std::this_thread::sleep_for(waiting.stall);
+    ASSERT_TRUE(runUntilEnded());
+    runFor(20ms);
+    for (const std::string &text : received) {
+        std::size_t responses = 0;
+        for (auto at = text.find("HTTP/1.1 "); at != std::string::npos;
+             at = text.find("HTTP/1.1 ", at + 1))
+            ++responses;
+        EXPECT_EQ(responses, waiting.requests) << text;
+    }
+    EXPECT_TRUE(m_callerServer.openRequests().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Places, WaitingRequestTest,
+                         testing::Values(QueueCase{"acceptQueue", 6, 1, 10ms, 0ms},
+                                         QueueCase{"behindARequestThatOutlastsTheStop", 1, 12,
+                                                   1500ms, 0ms},
+                                         QueueCase{"acceptQueueThroughAStall", 6, 1, 10ms, 1800ms},
+                                         QueueCase{"manyThroughAStall", 6, 3, 10ms, 1800ms}),
+                         [](const auto &info) { return info.param.name; });
+
+struct ListenerCase
+{
+    std::string name;
+    std::size_t callers;
+    bool hasAcceptedOne; ///< the accept of the first one has completed
+};
+
+class ClosingListenerTest : public GracefulStopTest,
+                            public testing::WithParamInterface<ListenerCase>
+{ };
+
+// Guards against connections that are reset because the process has not handled their accept yet.
+TEST_P(ClosingListenerTest, connectedCallersAreServed)
 {
     addServer("s", {okResponse("ok")});
     addSingleRoute(true);
     start();
-    auto caller = connectRaw(); // not accepted yet, as the context does not run
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    callers.reserve(GetParam().callers); // reads refer to the sockets
     const std::string bytes = request("/one/1");
-    boost::asio::write(caller, boost::asio::buffer(bytes));
+    std::vector<std::string> answers(GetParam().callers, std::string(12, ' '));
+    std::size_t answered = 0;
+    for (std::string &answer : answers) {
+        callers.push_back(connectRaw()); // not accepted yet, as the context does not run
+        boost::asio::write(callers.back(), boost::asio::buffer(bytes));
+        boost::asio::async_read(
+            callers.back(), boost::asio::buffer(answer),
+            [&](const auto &failure, std::size_t) { answered += failure ? 0 : 1; });
+    }
+    if (GetParam().hasAcceptedOne)
+        m_context.poll_one();
     m_callerServer.stopAccepting();
-    std::string answer(12, ' ');
-    bool isAnswered = false;
-    boost::asio::async_read(caller, boost::asio::buffer(answer),
-                            [&](const auto &failure, std::size_t) { isAnswered = !failure; });
-    ASSERT_TRUE(runUntil(m_context, [&] { return isAnswered; }));
-    EXPECT_EQ(answer, "HTTP/1.1 200");
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return answered == answers.size(); }, 2s))
+        << answered;
+    for (const std::string &answer : answers)
+        EXPECT_EQ(answer, "HTTP/1.1 200");
 }
 
+INSTANTIATE_TEST_SUITE_P(Accepts, ClosingListenerTest,
+                         testing::Values(ListenerCase{"oneInTheQueue", 1, false},
+                                         ListenerCase{"threeInTheQueue", 3, false},
+                                         ListenerCase{"anAcceptUnderWay", 3, true}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace gwt::test
