Decode the entries of a store reply one by one

Callers got 503 for all requests after a restart as long as one entry of another writer among the backend servers could not be parsed: half of a surrogate pair, nesting beyond the parser's limit, a number out of range. Without a restart, gateways learned of no new, draining or removed server.

Cause: StoreCodec parsed a listing or a watch reply by a single json::parse(), so that one bad entry made the whole reply malformed (store_lost, reason bad_store_reply).

Now a reply that cannot be parsed as a whole is split by a scanner that only follows strings and the number of open brackets, and each entry is parsed alone. One that fails is reported as unreadable, with name and revision from its meta if these can be read. It is counted (gwt_unreadable_objects_total), and logged once per revision (entry_unreadable). A server or member that was known keeps its last state while the store still names it; a removal needs only the name. The next page continues after the last readable name, so that an unreadable end of a page neither repeats the page for ever nor ends the listing.

Gateways pass names and texts on in protobuf strings, which others reject if they are no UTF-8 (bad_peer_reply). An entry whose name or used texts are no UTF-8 is unreadable, too; raw bytes in other fields do no harm.

The store's keys are listed even if their value is unreadable: the listing tells only name and revision, and a key must not seem removed.

KindObserver::onListing() takes the whole listing, so the recorder in KindFeedTest has the new signature; its expectations are unchanged.

--- a/fuzz/PlatformStoreFuzz.cpp
+++ b/fuzz/PlatformStoreFuzz.cpp
@@ -1,6 +1,7 @@
 #include "platform/BackendDecoder.h"
 #include "platform/ConfigDecoder.h"
 #include "platform/HostDecoder.h"
+#include "platform/JsonSplitter.h"
 #include "platform/KeyMapping.h"
 #include "platform/StoreCodec.h"
 
@@ -26,9 +27,37 @@
         std::abort();
 }
 
+/// Requires the two objects around \a element in a listing and in a watch, unless \a element is
+/// several elements or none.
+void requireOthersBeside(const std::string &element)
+{
+    const auto split = platform::splitArray("[" + element + "]");
+    if (!split || split->size() > 1)
+        return;
+    const std::string first = R"({"meta":{"name":"first"}})";
+    const std::string last = R"({"meta":{"name":"last"}})";
+    const auto page = platform::decodePage(R"({"items":[)" + first + "," + element + "," + last
+                                           + R"(],"asOf":9})");
+    if (!isOk(page) || valueOf(page).listing.asOf != 9)
+        std::abort();
+    const auto &objects = valueOf(page).listing.objects;
+    if (objects.size() < 2 || objects.front().name != "first" || objects.back().name != "last")
+        std::abort();
+    const auto watched
+        = platform::decodeChanges(R"({"events":[{"object":)" + first + R"(},{"object":)" + element
+                                  + R"(},{"object":)" + last + R"(}],"asOf":9})");
+    if (!isOk(watched) || valueOf(watched).asOf != 9)
+        std::abort();
+    const auto &changes = valueOf(watched).changes;
+    if (changes.size() < 2 || changes.front().object.name != "first"
+        || changes.back().object.name != "last")
+        std::abort();
+}
+
 } // namespace
 
-/// \brief Decodes any bytes as replies of the platform's store; must not crash.
+/// \brief Decodes any bytes as replies of the platform's store; must not crash, and no element of a
+/// reply may hide another.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view body(reinterpret_cast<const char *>(data), size);
@@ -43,6 +72,7 @@
             decodeAsEveryKind(change.object);
     }
     platform::decodeObject(body);
+    requireOthersBeside(std::string(body));
     requireSameAfterRoundTrip(body);
     platform::percentEncode(body);
     return 0;
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -66,6 +66,8 @@
     std::uint64_t memberRevision() const { return m_memberRevision; }
     std::uint64_t configVersion() const { return m_configs.current().version; }
     std::uint64_t backendRevision() const { return m_backendRevision; }
+    /// \brief All registered backend servers, by id.
+    const std::map<std::string, BackendEntry> &backends() const { return m_entries; }
     /// \brief Sets the handler that runs after each change of the state.
     void setUpdateHandler(std::function<void()> handler) { m_updateHandler = std::move(handler); }
 
--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -17,9 +17,9 @@
 class Recorder : public KindObserver
 {
 public:
-    void onListing(const std::vector<StoreObject> &objects, std::uint64_t) override
+    void onListing(const StoreListing &listing) override
     {
-        m_calls.push_back("listing:" + std::to_string(objects.size()));
+        m_calls.push_back("listing:" + std::to_string(listing.objects.size()));
     }
     void onChanges(const std::vector<StoreChange> &changes, std::uint64_t) override
     {
@@ -95,6 +95,50 @@
     EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=5&"));
 }
 
+struct PagingCase
+{
+    std::string name;
+    std::string secondPage;
+    std::vector<std::string> expectedTargets; ///< of the listing's calls
+};
+
+class UnreadablePageTest : public KindFeedTest, public testing::WithParamInterface<PagingCase>
+{ };
+
+// Guards against listing the same page for ever, and against losing the pages after it.
+TEST_P(UnreadablePageTest, listingContinuesAfterTheLastReadableName)
+{
+    std::vector<std::string> targets;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (isWatch(request))
+            return ScriptedReply{};
+        targets.emplace_back(request.target());
+        if (targets.size() == 1)
+            return json(R"({"items":[{"meta":{"name":"a"}}],"more":true,"asOf":5})");
+        if (request.target().ends_with("after=a"))
+            return json(R"({"more":true,"asOf":6,"items":[)" + GetParam().secondPage + "]}");
+        return json(R"({"items":[{"meta":{"name":"z"}}],"asOf":6})");
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return !m_recorder.calls().empty(); }));
+    EXPECT_EQ(targets, GetParam().expectedTargets);
+}
+
+const std::string firstTarget = "/-/objects/servers";
+
+INSTANTIATE_TEST_SUITE_P(
+    Pages, UnreadablePageTest,
+    testing::Values(PagingCase{"named",
+                               R"({"meta":{"name":"b"},"spec":"\ud83d"})",
+                               {firstTarget, firstTarget + "?after=a", firstTarget + "?after=b"}},
+                    PagingCase{"namedBehindOther",
+                               R"({"meta":{"name":"b"}},{"meta":{"name":"c"},"spec":"\ud83d"})",
+                               {firstTarget, firstTarget + "?after=a", firstTarget + "?after=c"}},
+                    PagingCase{"unnamed",
+                               R"({"meta":{"name":"\ud83d"}})",
+                               {firstTarget, firstTarget + "?after=a"}}),
+    [](const auto &info) { return info.param.name; });
+
 TEST_F(KindFeedTest, reportsEventsOfOneReplyInOneCall)
 {
     int watches = 0;
