--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -27,6 +27,9 @@
 constexpr Milliseconds startupRetryAfter{200};
 /// Retry-After of a process that is stopping; the others can serve the request at once.
 constexpr Milliseconds stopRetryAfter{20};
+/// Multiple of the typical latency that must be left for a request that may run only once: if it is
+/// ended, its caller cannot repeat it.
+constexpr int unsafeFinishMargin = 4;
 
 std::optional<Milliseconds> readMilliseconds(std::string_view text)
 {
@@ -181,8 +184,10 @@
 
 bool GatewayCore::canFinish(const Route &route, TimePoint now) const
 {
-    return m_stopTime == TimePoint::max()
-        || now + m_hedges.typicalLatency(route.name, route.target) < m_stopTime;
+    if (m_stopTime == TimePoint::max())
+        return true;
+    const int margin = route.isIdempotent ? 1 : unsafeFinishMargin;
+    return now + margin * m_hedges.typicalLatency(route.name, route.target) < m_stopTime;
 }
 
 void GatewayCore::handle(std::shared_ptr<CallerExchange> exchange)
--- a/src/gateway/policy/StopSchedule.cpp
+++ b/src/gateway/policy/StopSchedule.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// For the requests of the last connections that are accepted.
-constexpr Milliseconds finishTime{1500};
+constexpr Milliseconds finishTime{750};
 /// For the last responses to reach their callers before the sockets are closed.
 constexpr Milliseconds deliveryTime{250};
 
--- a/test/GracefulStopTest.cpp
+++ b/test/GracefulStopTest.cpp
@@ -28,9 +28,9 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Limits, StopScheduleTest,
-    testing::Values(ScheduleCase{"usual", 5500ms, {2500ms, 3750ms, 5250ms, 5500ms}},
-                    ScheduleCase{"long", 30s, {2500ms, 28250ms, 29750ms, 30s}},
-                    ScheduleCase{"shorterThanTheAnnouncement", 2s, {875ms, 875ms, 1750ms, 2s}},
+    testing::Values(ScheduleCase{"usual", 5500ms, {2500ms, 4500ms, 5250ms, 5500ms}},
+                    ScheduleCase{"long", 30s, {2500ms, 29s, 29750ms, 30s}},
+                    ScheduleCase{"shorterThanTheAnnouncement", 2s, {1s, 1s, 1750ms, 2s}},
                     ScheduleCase{"short", 400ms, {150ms, 150ms, 300ms, 400ms}},
                     ScheduleCase{"none", 0ms, {0ms, 0ms, 0ms, 0ms}},
                     ScheduleCase{"negative", -500ms, {0ms, 0ms, 0ms, 0ms}}),
@@ -130,19 +130,37 @@
     EXPECT_TRUE(m_callerServer.openRequests().empty());
 }
 
-TEST_F(GracefulStopTest, refusesAtOnceWhatCannotFinishInTime)
+struct RefusalCase
+{
+    std::string name;
+    bool isIdempotent;
+    Milliseconds target; ///< a tenth is the expected latency while none was measured
+    bool isRefused;
+};
+
+class StopRefusalTest : public GracefulStopTest, public testing::WithParamInterface<RefusalCase>
+{ };
+
+TEST_P(StopRefusalTest, refusesAtOnceWhatCannotFinishInTime)
 {
     ScriptedServer &server = addServer("s", {okResponse("ok")});
-    addSingleRoute(true);
-    m_config.routes.front().target = 8s; // a tenth is expected before any was measured
+    addSingleRoute(GetParam().isIdempotent);
+    m_config.routes.front().target = GetParam().target;
     start();
     m_stop.begin();
     const WireResponse response = sendRequest("/one/1");
-    EXPECT_EQ(response.result_int(), 503U);
-    EXPECT_EQ(response.body(), R"({"error":"stopping"})");
-    EXPECT_EQ(server.requests().size(), 0U);
+    EXPECT_EQ(response.result_int(), GetParam().isRefused ? 503U : 200U);
+    EXPECT_EQ(response.body(), GetParam().isRefused ? R"({"error":"stopping"})" : "ok");
+    EXPECT_EQ(server.requests().size(), GetParam().isRefused ? 0U : 1U);
 }
 
+INSTANTIATE_TEST_SUITE_P(Requests, StopRefusalTest,
+                         testing::Values(RefusalCase{"tooLong", true, 8s, true},
+                                         RefusalCase{"finishes", true, 2s, false},
+                                         RefusalCase{"tooLongForAnUnsafeOne", false, 2s, true},
+                                         RefusalCase{"unsafeFinishes", false, 1s, false}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST_F(GracefulStopTest, aSecondSignalChangesNothing)
 {
     addServer("s", {okResponse("ok"), 200ms});
