Stop gateways twice and in series in the soak, with callers that pipeline

The soak stopped one gateway at a time by one signal, and its callers waited for each response before the next request. So it did not show whether a stop bears a repeated signal, stops of several gateways that overlap, or requests that wait behind another one on their connection.

One that came in the same write as a request whose response kept the connection open may not be dropped, however short it waited.

--- a/test/GatewaySoakTest.cpp
+++ b/test/GatewaySoakTest.cpp
@@ -106,7 +106,14 @@
                                                      {"gateway reloads", "configuration changes"}}),
                          [](const auto &info) { return info.param.name; });
 
-class PlannedStopTest : public testing::TestWithParam<PlannedWork>
+struct PlannedStop
+{
+    std::string name;
+    std::vector<std::string> faults;
+    int pipeliningCallers = 0;
+};
+
+class PlannedStopTest : public testing::TestWithParam<PlannedStop>
 { };
 
 // Guards against requests that a stopping process ends without a response: those that are still in
@@ -116,18 +123,22 @@
     SoakOptions options;
     options.duration = 8s;
     options.callers = 72;
+    options.pipeliningCallers = GetParam().pipeliningCallers;
     options.faults = GetParam().faults;
     Soak soak(options);
     EXPECT_EQ(soak.run(), std::vector<std::string>{}) << "logs: " << soak.folder();
     EXPECT_GT(soak.findings().served, 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(UnderLoad, PlannedStopTest,
-                         testing::Values(PlannedWork{"stops", {"gateway stopped"}},
-                                         PlannedWork{"stopsReloadsAndConfigurations",
-                                                     {"gateway stopped", "gateway reloads",
-                                                      "configuration changes"}}),
-                         [](const auto &info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    UnderLoad, PlannedStopTest,
+    testing::Values(PlannedStop{"stops", {"gateway stopped"}},
+                    PlannedStop{"stopsReloadsAndConfigurations",
+                                {"gateway stopped", "gateway reloads", "configuration changes"}},
+                    PlannedStop{"stopsInSeries", {"all gateways stopped in series"}},
+                    PlannedStop{"stopsTwice", {"gateway stopped twice"}},
+                    PlannedStop{"pipelined", {"gateway stopped"}, 36}),
+    [](const auto &info) { return info.param.name; });
 
 } // namespace
 } // namespace gwt::test
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -54,6 +54,8 @@
     {"backend sheds load", &Soak::backendSheds},
     {"gateway killed", &Soak::gatewayKilled},
     {"gateway stopped", &Soak::gatewayStopped},
+    {"gateway stopped twice", &Soak::gatewayStoppedTwice},
+    {"all gateways stopped in series", &Soak::allGatewaysStopped},
     {"gateway paused", &Soak::gatewayPaused},
     {"gateway reloads", &Soak::gatewayReloads},
     {"configuration changes", &Soak::configChanges},
@@ -102,9 +104,14 @@
     }
     for (int i = 0; i < m_options.callers; ++i) {
         SoakGateway &gateway = *m_gateways[static_cast<std::size_t>(i % m_options.gateways)];
-        m_callers.push_back(std::make_unique<SoakCaller>(m_context, m_timers, gateway, m_shards,
-                                                         "caller-" + std::to_string(i), m_random(),
-                                                         m_findings));
+        const std::string name = "caller-" + std::to_string(i);
+        if (i < m_options.pipeliningCallers) {
+            m_pipeliningCallers.push_back(std::make_unique<PipeliningSoakCaller>(
+                m_context, m_timers, gateway, name, m_random(), m_findings));
+        } else {
+            m_callers.push_back(std::make_unique<SoakCaller>(m_context, m_timers, gateway, m_shards,
+                                                             name, m_random(), m_findings));
+        }
     }
 }
 
@@ -345,7 +352,7 @@
 {
     for (const UnansweredRequest &request : m_findings.unanswered) {
         const bool hasRun = m_executions.contains(request.id);
-        if (!hasRun && request.waited <= closeRaceTime)
+        if (!hasRun && request.mayCrossClose && request.waited <= closeRaceTime)
             continue;
         m_findings.violations.push_back("no response to a request that "
                                         + std::string(hasRun ? "was executed" : "was read") + ": "
@@ -381,15 +388,20 @@
         m_findings.violations.emplace_back("not all gateways became ready in time");
     for (const auto &caller : m_callers)
         caller->start();
+    for (const auto &caller : m_pipeliningCallers)
+        caller->start();
     scheduleFault();
     runUntil(
         m_context, [] { return false; }, m_options.duration);
     m_isInjectingFaults = false;
+    m_plannedStops.end();
     runUntil(
         m_context, [] { return false; }, recoveryTime);
     checkRecovery();
     for (const auto &caller : m_callers)
         caller->stop();
+    for (const auto &caller : m_pipeliningCallers)
+        caller->stop();
     runUntil(
         m_context, [] { return false; }, settleTime);
     checkExecutions();
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "PipeliningSoakCaller.h"
+#include "PlannedStops.h"
 #include "SoakBackend.h"
 #include "SoakCaller.h"
 #include "SoakGateway.h"
@@ -21,6 +23,7 @@
     int gateways = 3;
     int shards = 4;
     int callers = 6; ///< spread over the gateways
+    int pipeliningCallers = 0; ///< so many of the callers pipeline their requests
     std::vector<std::string> faults; ///< names of the faults to inject; empty: all
 };
 
@@ -85,6 +88,8 @@
     void backendLeaves();
     void gatewayKilled() { randomElement(m_gateways).signal(SIGKILL); }
     void gatewayStopped() { randomElement(m_gateways).stop(); }
+    void gatewayStoppedTwice() { m_plannedStops.stopOneTwice(); }
+    void allGatewaysStopped() { m_plannedStops.stopAllInSeries(); }
     void gatewayPaused();
     void gatewayReloads() { randomElement(m_gateways).reload(); }
     void configChanges() { publish(); }
@@ -106,7 +111,9 @@
     std::vector<std::unique_ptr<SoakBackend>> m_versionBackends; ///< one a configuration
     std::vector<std::unique_ptr<LoopbackProxy>> m_storeProxies; ///< one a gateway
     std::vector<std::unique_ptr<SoakGateway>> m_gateways;
+    PlannedStops m_plannedStops{m_timers, m_random, m_gateways};
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
+    std::vector<std::unique_ptr<PipeliningSoakCaller>> m_pipeliningCallers;
     int m_version = 0;
     bool m_isInjectingFaults = true;
     bool m_isStoreMute = false;
--- a/test/soak/SoakCaller.h
+++ b/test/soak/SoakCaller.h
@@ -17,6 +17,8 @@
     std::string id;
     std::string gateway;
     Milliseconds waited{0}; ///< from its last byte to the end of the connection
+    /// False if it arrived with a request whose response kept the connection open.
+    bool mayCrossClose = true;
 };
 
 /// \brief Observations of all callers of one soak.
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -76,9 +76,9 @@
     signalIfHandled(SIGHUP);
 }
 
-void SoakGateway::stop()
+void SoakGateway::stop(int number)
 {
-    signalIfHandled(SIGTERM);
+    signalIfHandled(number);
 }
 
 void SoakGateway::start(const std::vector<Endpoint> &seeds)
--- a/test/soak/SoakGateway.h
+++ b/test/soak/SoakGateway.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <csignal>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,8 +34,8 @@
     void signal(int number);
     /// \brief Changes the settings and signals the process to reload them.
     void reload();
-    /// \brief Asks the process to stop.
-    void stop();
+    /// \brief Asks the process to stop, by signal \a number.
+    void stop(int number = SIGTERM);
     /// \brief Records that a fault affects this gateway until \a end.
     void setDisturbedUntil(TimePoint end) { m_disturbedUntil = std::max(m_disturbedUntil, end); }
     TimePoint disturbedUntil() const { return m_disturbedUntil; }
--- a/test/soak/gwt-soak.cpp
+++ b/test/soak/gwt-soak.cpp
@@ -25,9 +25,12 @@
         "seed", po::value(&first)->default_value(1), "first seed")(
         "runs", po::value(&runs)->default_value(1), "number of runs, each with the next seed")(
         "seconds", po::value(&seconds)->default_value(8), "duration of the faults in a run")(
-        "gateways", po::value(&options.gateways)->default_value(3),
-        "gateway processes per run")("fault", po::value(&options.faults),
-                                     "name of a fault to inject (repeatable); default: all faults");
+        "gateways", po::value(&options.gateways)->default_value(3), "gateway processes per run")(
+        "callers", po::value(&options.callers)->default_value(6),
+        "callers per run")("pipelining", po::value(&options.pipeliningCallers)->default_value(0),
+                           "so many of the callers pipeline their requests")(
+        "fault", po::value(&options.faults),
+        "name of a fault to inject (repeatable); default: all faults");
     po::variables_map values;
     try {
         po::store(po::parse_command_line(argc, argv, description), values);
