Close a pipelining caller's connection when it has ended

The caller relied on the release of the last handler. It now closes the socket before it connects again.

--- a/test/soak/PipeliningSoakCaller.cpp
+++ b/test/soak/PipeliningSoakCaller.cpp
@@ -208,16 +208,22 @@
             m_findings.unanswered.push_back({request.id, m_gateway.name(), waited, mayCrossClose});
     }
     m_waiting.clear();
+    closeConnection();
     connect();
 }
 
+void PipeliningSoakCaller::closeConnection()
+{
+    error_code ignored;
+    std::exchange(m_connection, nullptr)->socket.close(ignored);
+}
+
 void PipeliningSoakCaller::onReplyTimeout()
 {
     for (const Request &request : m_waiting)
         recordFailure(request.id, "no response before the timeout");
     m_waiting.clear();
-    error_code ignored;
-    std::exchange(m_connection, nullptr)->socket.close(ignored);
+    closeConnection();
     connect();
 }
 
--- a/test/soak/PipeliningSoakCaller.h
+++ b/test/soak/PipeliningSoakCaller.h
@@ -42,6 +42,7 @@
     void checkResponse(const Request &request, const WireResponse &response);
     void onReadFailure(const boost::system::error_code &failure);
     void onEnd();
+    void closeConnection();
     void onReplyTimeout();
     void recordFailure(const std::string &id, const std::string &reason);
     void reportViolation(const std::string &what, const std::string &id);
