Don't let the soak's gateways inherit its sockets

A gateway that the soak restarted held copies of the callers' sockets (367, 524 and 722 in three processes of one run), so that a caller's close didn't reach the other gateways: their connections lingered up to the end of a stop.

--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -92,6 +92,8 @@
     ::posix_spawn_file_actions_init(&actions);
     ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                        O_WRONLY | O_CREAT | O_APPEND, 0644);
+    // Sockets of this process that a gateway inherits would stay open after they are closed here.
+    ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string program = GWT_BIN_DIR;
     program.append("/gwt-gateway");
     std::string variable = "GODWITTRAY_SETTINGS=";
