--- a/test/ProcessFleet.cpp
+++ b/test/ProcessFleet.cpp
@@ -149,6 +149,7 @@
         + "\"\navailability_zone = \"" + zoneOf(host) + "\"\nadmin = \"" + ip + ":710" + digit
         + "\"\npeer = \"" + ip + ":730" + digit + "\"\nlog_level = \"" + m_options.logLevel
         + "\"\ndrain_interval_ms = " + std::to_string(m_options.drainIntervalMs)
+        + "\ndrain_bound_ms = " + std::to_string(m_options.drainBoundMs)
         + "\n[platform]\naddress = \"" + toString(platform()) + "\"\n" + seedSettings();
 }
 
--- a/test/ProcessFleet.h
+++ b/test/ProcessFleet.h
@@ -21,6 +21,7 @@
     int serviceTimeMs = 4; ///< mean time of a request in a slot
     double serviceTimeSigma = 0.5;
     int drainIntervalMs = 200;
+    int drainBoundMs = 30000;
     std::string logLevel = "info"; ///< of all daemons
     bool hasSeeds = false; ///< the first two hosts are seeds of the membership
     std::string extraRelaySettings; ///< appended to each relay's settings file
