Answer the requests that a stopping entry cuts at the drain bound

Callers saw the connection close without a response if their request was still in progress when daemon.drain_bound_ms passed.

Cause: shutDown() counted these requests for requests_cut and the process exited; nobody wrote to their connections.

Evidence: DrainBoundTest with frozen relays and a bound of 500 ms. Before, callers of both kinds (search, booking) got the end of the connection instead of a response and both cases failed. Now all 8 callers of each case get 504 "stopping", run "unknown", Connection: close; the exit status is still 1 and the log says requests_cut=8. HttpEndRequestsTest (request in a handler, partly read, pipelined) passed 3 of 3 runs; the function it tests is new. PlannedStopTest and GracefulShutdownTest passed once.

The handlers can't be abandoned, so HttpServer writes the response itself and discards the handler's later one. It then reads the rest of the input until the caller closes, since closing with unread input would reset the connection. A second SIGTERM still exits at once, without responses.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -21,6 +21,7 @@
 /// A daemon that finds no others to call becomes ready after this time.
 constexpr Milliseconds maxJoinTime{3000};
 constexpr Milliseconds stopGrace{300}; ///< for requests already in transit when the listener closes
+constexpr Milliseconds endGrace{1000}; ///< for callers to receive the responses of cut requests
 constexpr Milliseconds closeGrace{1000}; ///< for other daemons to receive the last replies
 constexpr Milliseconds departureTime{50}; ///< for sending the last datagrams
 
@@ -88,6 +89,10 @@
         = waitFor([&] { return isHandedOver && requestsInProgress(services, role) == 0; }, signals,
                   services.options.drainBound);
     const int interrupted = requestsInProgress(services, role);
+    if (interrupted > 0 && signals.count() < 2) {
+        role.endRequests();
+        waitFor([&] { return role.requestsInProgress() == 0; }, signals, endGrace);
+    }
     waitFor([&] { return services.peerServer.sessions() == 0; }, signals, closeGrace);
     services.membership.depart();
     std::this_thread::sleep_for(departureTime);
--- a/src/daemon/DaemonRole.h
+++ b/src/daemon/DaemonRole.h
@@ -22,6 +22,8 @@
     virtual void startDraining() { }
     /// \brief Closes the role's listeners; requests in progress continue.
     virtual void stopAccepting() = 0;
+    /// \brief Answers the requests of callers that are still in progress, without a result.
+    virtual void endRequests() { }
     /// \brief Releases or transfers what the role owns; runs while draining.
     virtual Task<void> handOver() = 0;
     virtual int requestsInProgress() const = 0;
--- a/src/entry/EntryRole.cpp
+++ b/src/entry/EntryRole.cpp
@@ -50,6 +50,12 @@
     return Done{};
 }
 
+void EntryRole::endRequests()
+{
+    m_server.endRequests(apiError(504, "stopping", "the entry stops before the request is finished",
+                                  RunStatus::Unknown, ""));
+}
+
 Task<HttpResponse> EntryRole::route(HttpRequest request)
 {
     const std::string path = request.path();
--- a/src/entry/EntryRole.h
+++ b/src/entry/EntryRole.h
@@ -29,6 +29,7 @@
     bool isReady() const override { return true; }
     void startDraining() override { m_server.startDraining(); }
     void stopAccepting() override { m_server.stopAccepting(); }
+    void endRequests() override;
     Task<void> handOver() override { co_return; }
     int requestsInProgress() const override { return m_server.requestsInProgress(); }
     std::string statusJson() const override;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,8 +1,8 @@
 #include "http/HttpServer.h"
 
 #include "common/Listener.h"
-#include "common/LowerCase.h"
 #include "common/Sleep.h"
+#include "http/RequestParsing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -28,39 +28,6 @@
 constexpr std::size_t readBytes = 4096;
 constexpr Milliseconds discardTimeout{500}; ///< to read the rest of a rejected request
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message)
-        request.headers[lowerCase(field.name_string())] = std::string(field.value());
-    request.body = std::move(message.body());
-    return request;
-}
-
-std::string errorBody(std::string_view code, std::string_view message)
-{
-    return "{\"error\":{\"code\":\"" + std::string(code) + "\",\"message\":\""
-        + std::string(message) + "\",\"run\":\"notRun\"}}";
-}
-
-/// \brief Maps a read error to an error response; empty if none can be sent.
-std::optional<HttpResponse> errorResponseFor(const error_code &failure)
-{
-    if (failure == http::error::body_limit)
-        return HttpResponse::json(413, errorBody("body_too_large", "the body is too large"));
-    if (failure == http::error::header_limit)
-        return HttpResponse::json(431, errorBody("headers_too_large", "the headers are too large"));
-    if (failure == beast::error::timeout)
-        return HttpResponse::json(408, errorBody("request_timeout", "the request came too slowly"));
-    if (failure == http::error::end_of_stream || failure == http::error::partial_message)
-        return std::nullopt;
-    if (failure.category() == http::make_error_code(http::error::bad_version).category())
-        return HttpResponse::json(400, errorBody("bad_http", "the request is not HTTP/1.1"));
-    return std::nullopt;
-}
-
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
@@ -82,6 +49,9 @@
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
         std::atomic<bool> isIdle = true;
+        bool isReading = false; ///< a request has been read in part
+        bool isHandling = false; ///< a handler runs
+        bool isEnded = false; ///< endRequest() has answered in place of the handler
         bool isFirstRequest = true; ///< no request has been read yet
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
@@ -89,6 +59,8 @@
     Task<void> acceptLoop();
     Task<void> serve(ConnectionPtr connection);
     Task<bool> serveOne(ConnectionPtr connection);
+    Task<void> endRequest(ConnectionPtr connection);
+    void close(const ConnectionPtr &connection);
     Task<bool> write(ConnectionPtr connection, HttpResponse response, bool keepAlive);
     Task<bool> writeFiltered(ConnectionPtr connection, HttpWireBytes wire);
     Task<HttpResponse> runHandler(ConnectionPtr connection, HttpRequest request);
@@ -111,6 +83,8 @@
     tcp::acceptor acceptor;
     std::atomic<bool> isDraining = false; ///< close each connection after its next response
     std::atomic<bool> isStopping = false;
+    HttpResponse endResponse; ///< not changed once isEnding is set
+    std::atomic<bool> isEnding = false; ///< answer all requests with endResponse
     std::atomic<int> inProgress = 0;
     mutable std::mutex mutex; ///< guards connections
     std::list<std::weak_ptr<Connection>> connections;
@@ -218,6 +192,12 @@
     const auto self = shared_from_this();
     while (co_await serveOne(connection)) {
     }
+    if (!connection->isEnded)
+        close(connection);
+}
+
+void HttpServer::Impl::close(const ConnectionPtr &connection)
+{
     // Before the caller sees the close, because it may reconnect immediately.
     remove(connection.get());
     error_code ignored;
@@ -265,12 +245,17 @@
         *hasTimedOut = true;
         connection->stream.cancel();
     });
+    connection->isReading = true;
     const auto [failure, bytes]
         = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
+    connection->isReading = false;
     timer.cancel();
     if (failure) {
-        const auto errorResponse
-            = errorResponseFor(*hasTimedOut ? make_error_code(beast::error::timeout) : failure);
+        const bool isInterrupted
+            = isEnding && !*hasTimedOut && failure == asio::error::operation_aborted;
+        const auto errorResponse = isInterrupted
+            ? std::optional(endResponse)
+            : errorResponseFor(*hasTimedOut ? make_error_code(beast::error::timeout) : failure);
         if (errorResponse) {
             co_await write(connection, *errorResponse, false);
             co_await discardInput(connection);
@@ -282,13 +267,29 @@
     const bool keepAlive = message.keep_alive();
     HttpRequest request = toRequest(std::move(message));
     request.isFirstOnConnection = std::exchange(connection->isFirstRequest, false);
-    HttpResponse response = co_await runHandler(connection, std::move(request));
-    const bool staysOpen = keepAlive && !response.mustClose && mayContinue(connection);
+    HttpResponse response;
+    if (isEnding)
+        response = endResponse;
+    else
+        response = co_await runHandler(connection, std::move(request));
+    if (connection->isEnded)
+        co_return false;
+    const bool staysOpen = keepAlive && !isEnding && !response.mustClose && mayContinue(connection);
     const bool isWritten = co_await write(connection, std::move(response), staysOpen);
     --inProgress;
     co_return isWritten &&staysOpen;
 }
 
+/// \brief Answers the request of \a connection in place of its handler, which can't be abandoned.
+Task<void> HttpServer::Impl::endRequest(ConnectionPtr connection)
+{
+    const auto self = shared_from_this();
+    co_await write(connection, endResponse, false);
+    co_await discardInput(connection);
+    --inProgress;
+    close(connection);
+}
+
 /// \brief Discards the rest of a rejected request; closing with unread input would reset the
 /// connection, and the caller could lose the response.
 Task<void> HttpServer::Impl::discardInput(ConnectionPtr connection)
@@ -311,9 +312,11 @@
     const CancelToken cancel = request.cancel;
     if (connection->buffer.size() == 0)
         spawn(connection->stream.get_executor(), watchForClose(connection, cancel, isDone));
+    connection->isHandling = true;
     HttpResponse response = co_await handler(std::move(request));
+    connection->isHandling = false;
     *isDone = true;
-    if (connection->stream.socket().is_open())
+    if (!connection->isEnded && connection->stream.socket().is_open())
         connection->stream.socket().cancel();
     co_return response;
 }
@@ -400,6 +403,22 @@
     });
 }
 
+void HttpServer::endRequests(HttpResponse response)
+{
+    if (m_impl->isEnding)
+        return;
+    m_impl->endResponse = std::move(response);
+    m_impl->isEnding = true;
+    m_impl->forEach([impl = m_impl](const Impl::ConnectionPtr &connection) {
+        if (connection->isHandling) {
+            connection->isEnded = true;
+            spawn(connection->stream.get_executor(), impl->endRequest(connection));
+        } else if (connection->isReading) {
+            connection->stream.cancel();
+        }
+    });
+}
+
 int HttpServer::requestsInProgress() const
 {
     return m_impl->inProgress;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -54,6 +54,11 @@
     /// Connections in the accept queue are still served. An idle connection stays open for a short
     /// grace period, in case a request is just arriving.
     void stopAccepting();
+    /// \brief Answers each request that has no response yet with \a response and closes its
+    /// connection. The handlers continue; their responses are discarded.
+    ///
+    /// Requests that arrive later get the same response. Call after stopAccepting().
+    void endRequests(HttpResponse response);
     /// \brief Number of requests whose response is not fully written.
     int requestsInProgress() const;
     /// \brief Number of open connections.
--- a/test/HttpDrainTest.cpp
+++ b/test/HttpDrainTest.cpp
@@ -1,3 +1,4 @@
+#include "common/Sleep.h"
 #include "common/WorkerPool.h"
 #include "http/HttpServer.h"
 
@@ -23,6 +24,8 @@
         : m_pool(1)
         , m_server(m_pool.executor(), HttpServerLimits{},
                    [](HttpRequest request) -> Task<HttpResponse> {
+                       if (request.path() == "/slow")
+                           co_await sleepFor(Milliseconds(300));
                        co_return HttpResponse::json(200, request.body);
                    })
         , m_address(valueOf(m_server.listen({"127.0.0.1", 0})))
@@ -169,5 +172,45 @@
         std::this_thread::yield();
 }
 
+struct UnfinishedRequest
+{
+    std::string name;
+    std::string text; ///< what has arrived when the requests are ended
+};
+
+class HttpEndRequestsTest : public HttpDrainTest,
+                            public testing::WithParamInterface<UnfinishedRequest>
+{ };
+
+// Guards against requests that end without a response, or with two, when a handler is too slow.
+TEST_P(HttpEndRequestsTest, requestInProgressIsAnsweredOnce)
+{
+    tcp::socket socket = connect();
+    send(socket, GetParam().text);
+    while (m_server.requestsInProgress() == 0)
+        std::this_thread::yield();
+    m_server.stopAccepting();
+    m_server.endRequests(HttpResponse::json(504, "{}"));
+    std::string text;
+    boost::system::error_code failure;
+    asio::read(socket, asio::dynamic_buffer(text), failure); // until the server closes
+    EXPECT_EQ(failure, asio::error::eof) << failure.message();
+    EXPECT_EQ(text.find("HTTP/1.1 504"), 0U) << text;
+    EXPECT_EQ(text.rfind("HTTP/1.1"), 0U) << text;
+    EXPECT_NE(text.find("Connection: close"), std::string::npos) << text;
+    socket.close();
+    std::this_thread::sleep_for(Milliseconds(400)); // the handler has returned
+    EXPECT_EQ(m_server.requestsInProgress(), 0);
+    EXPECT_EQ(m_server.connections(), 0);
+}
+
+const std::string slowRequest = "POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
+
+INSTANTIATE_TEST_SUITE_P(Requests, HttpEndRequestsTest,
+                         testing::Values(UnfinishedRequest{"inHandler", slowRequest},
+                                         UnfinishedRequest{"partlyRead", slowRequest.substr(0, 20)},
+                                         UnfinishedRequest{"pipelined", slowRequest + slowRequest}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace gwt
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -296,5 +296,79 @@
                                          StopOrder{"overlapping", true}),
                          [](const auto &info) { return info.param.name; });
 
+struct UnfinishedRequest
+{
+    std::string name;
+    RequestKind kind = RequestKind::Search;
+};
+
+class DrainBoundTest : public testing::TestWithParam<UnfinishedRequest>
+{
+protected:
+    static ProcessFleetOptions options()
+    {
+        ProcessFleetOptions options;
+        options.drainBoundMs = 500;
+        return options;
+    }
+
+    DrainBoundTest()
+        : m_fleet(options())
+    { }
+
+    bool waitForRequests(int count)
+    {
+        const std::string part = "\"requests_in_progress\":" + std::to_string(count);
+        for (int i = 0; i < 500; ++i) {
+            if (m_fleet.get(m_fleet.admin("entry-1"), "/status").body.find(part)
+                != std::string::npos)
+                return true;
+            std::this_thread::sleep_for(5ms);
+        }
+        return false;
+    }
+
+    ProcessFleet m_fleet;
+};
+
+// Frozen relays never reply, so that the requests can't finish before the bound.
+TEST_P(DrainBoundTest, requestsInProgressAreAnswered)
+{
+    constexpr int requests = 8;
+    ASSERT_TRUE(m_fleet.start());
+    ASSERT_TRUE(waitForJoin(m_fleet));
+    for (const std::string name : {"relay-1", "relay-2", "relay-3"})
+        m_fleet.signal(name, SIGSTOP);
+    std::vector<RawResponse> responses(requests);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < requests; ++i) {
+        callers.emplace_back([this, i, &response = responses[static_cast<std::size_t>(i)]] {
+            RawConnection connection;
+            if (connection.open(m_fleet.entry(1))) {
+                response = connection.exchange(
+                    makeRequest(GetParam().kind, "background", "k-" + std::to_string(i)).text);
+            }
+        });
+    }
+    EXPECT_TRUE(waitForRequests(requests));
+    m_fleet.signal("entry-1", SIGTERM);
+    EXPECT_EQ(m_fleet.waitExit("entry-1"), 1);
+    for (std::thread &caller : callers)
+        caller.join();
+    for (const RawResponse &response : responses) {
+        EXPECT_EQ(response.status, 504) << response.text;
+        EXPECT_TRUE(response.mustClose) << response.text;
+        EXPECT_NE(response.text.find(R"("code":"stopping")"), std::string::npos) << response.text;
+        EXPECT_NE(response.text.find(R"("run":"unknown")"), std::string::npos) << response.text;
+    }
+    const std::string log = logOf(m_fleet, "entry-1");
+    EXPECT_NE(log.find("requests_cut=" + std::to_string(requests)), std::string::npos) << log;
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, DrainBoundTest,
+                         testing::Values(UnfinishedRequest{"search", RequestKind::Search},
+                                         UnfinishedRequest{"booking", RequestKind::Booking}),
+                         [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace gwt
