Answer the last requests of admin callers before a daemon exits

Callers of an admin address (/readyz) that keep their connection lost 1 or 2 requests on it per stopped daemon, as the process exited without draining that server.

Evidence: PlannedStopTest now fails if a request is lost on a kept connection.

The admin server stops accepting last, so that /readyz reports the draining until then; each response closes its connection, and idle connections are closed after the grace period of HttpServer.

--- a/src/daemon/AdminServer.h
+++ b/src/daemon/AdminServer.h
@@ -22,6 +22,9 @@
                 std::function<std::string()> status, Inspector inspect);
 
     Outcome<Endpoint> listen(const Endpoint &local) { return m_server.listen(local); }
+    /// \brief Closes the listener, and each connection after its next response.
+    void stopAccepting() { m_server.stopAccepting(); }
+    int connections() const { return m_server.connections(); }
 
 private:
     HttpResponse answer(const HttpRequest &request) const;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -23,6 +23,7 @@
 constexpr Milliseconds stopGrace{300}; ///< for requests already in transit when the listener closes
 constexpr Milliseconds endGrace{1000}; ///< for callers to receive the responses of cut requests
 constexpr Milliseconds closeGrace{1000}; ///< for other daemons to receive the last replies
+constexpr Milliseconds adminGrace{300}; ///< for the responses of /readyz and closing idle callers
 constexpr Milliseconds departureTime{50}; ///< for sending the last datagrams
 
 /// \brief Counts SIGTERM and SIGINT signals.
@@ -70,7 +71,8 @@
     return services.peerServer.requestsInProgress() + role.requestsInProgress();
 }
 
-int shutDown(DaemonServices &services, DaemonRole &role, const StopSignals &signals)
+int shutDown(DaemonServices &services, DaemonRole &role, AdminServer &admin,
+             const StopSignals &signals)
 {
     services.readiness.markDraining();
     services.membership.announceLeaving();
@@ -94,6 +96,9 @@
         waitFor([&] { return role.requestsInProgress() == 0; }, signals, endGrace);
     }
     waitFor([&] { return services.peerServer.sessions() == 0; }, signals, closeGrace);
+    // Last, because /readyz reports the draining until the end.
+    admin.stopAccepting();
+    waitFor([&] { return admin.connections() == 0; }, signals, adminGrace);
     services.membership.depart();
     std::this_thread::sleep_for(departureTime);
     logInfo("stopped", {{"complete", isComplete}, {"requests_cut", interrupted}});
@@ -161,7 +166,7 @@
         updateReadiness(services, role, joinDeadline);
         std::this_thread::sleep_for(pollInterval);
     }
-    return shutDown(services, role, signals);
+    return shutDown(services, role, admin, signals);
 }
 
 } // namespace
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -258,6 +258,8 @@
         std::cout << std::endl;
         EXPECT_FALSE(record.responses.empty()) << callers.name();
         for (const LostRequest &request : record.lost) {
+            // These callers leave no connection idle, so that each kept one ends with a response.
+            EXPECT_TRUE(request.isFirst) << callers.name() << " " << request.text;
             EXPECT_LT(request.age, idleClosePeriod) << callers.name() << " " << request.text;
             if (!request.key.empty()) {
                 EXPECT_EQ(m_fleet.executions(request.key), 0) << request.key;
