--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -10,3 +10,4 @@
 #include "http/HttpMessage.h"
 #include "http/HttpServer.h"
 #include "http/IdleConnections.h"
+#include "http/RequestParsing.h"
