Read the response of ended requests only once it is set

The process test of the daemons is called DaemonStopTest, since the soak's PlannedStopTest is about gateways.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -270,9 +270,7 @@
     const bool keepAlive = message.keep_alive();
     HttpRequest request = toRequest(std::move(message));
     request.isFirstOnConnection = std::exchange(connection->isFirstRequest, false);
-    HttpResponse response = endResponse;
-    if (!isEnding)
-        response = co_await runHandler(connection, std::move(request));
+    HttpResponse response = co_await runHandler(connection, std::move(request));
     if (connection->isEnded)
         co_return false;
     const bool staysOpen = keepAlive && !isEnding && !response.mustClose && mayContinue(connection);
@@ -309,6 +307,8 @@
 
 Task<HttpResponse> HttpServer::Impl::runHandler(ConnectionPtr connection, HttpRequest request)
 {
+    if (isEnding)
+        co_return endResponse;
     const auto isDone = std::make_shared<std::atomic<bool>>(false);
     const CancelToken cancel = request.cancel;
     if (connection->buffer.size() == 0)
--- a/test/PlannedStopTest.cpp
+++ b/test/DaemonStopTest.cpp
@@ -216,10 +216,10 @@
     bool isOverlapping = false;
 };
 
-class PlannedStopTest : public testing::TestWithParam<StopOrder>
+class DaemonStopTest : public testing::TestWithParam<StopOrder>
 {
 protected:
-    PlannedStopTest()
+    DaemonStopTest()
         : m_fleet(ProcessFleetOptions{})
     { }
 
@@ -270,7 +270,7 @@
     ProcessFleet m_fleet;
 };
 
-TEST_P(PlannedStopTest, eachRequestReadIsAnswered)
+TEST_P(DaemonStopTest, eachRequestReadIsAnswered)
 {
     ASSERT_TRUE(m_fleet.start());
     ASSERT_TRUE(waitForJoin(m_fleet));
@@ -293,7 +293,7 @@
         expectNoneLost(*callers);
 }
 
-INSTANTIATE_TEST_SUITE_P(Orders, PlannedStopTest,
+INSTANTIATE_TEST_SUITE_P(Orders, DaemonStopTest,
                          testing::Values(StopOrder{"inSeries", false},
                                          StopOrder{"overlapping", true}),
                          [](const auto &info) { return info.param.name; });
