--- a/test/DaemonStopTest.cpp
+++ b/test/DaemonStopTest.cpp
@@ -343,6 +343,7 @@
         m_fleet.signal(name, SIGSTOP);
     std::vector<RawResponse> responses(requests);
     std::vector<std::thread> callers;
+    callers.reserve(responses.size());
     for (int i = 0; i < requests; ++i) {
         callers.emplace_back([this, i, &response = responses[static_cast<std::size_t>(i)]] {
             RawConnection connection;
