--- a/review/Stage.h
+++ b/review/Stage.h
@@ -556,9 +556,13 @@
 
     void start(const std::string &folder, const Options &options)
     {
-        m_front = freePort();
-        m_ready = freePort();
-        m_control = freePort();
+        // A process that is started again keeps its addresses.
+        if (m_front == 0) {
+            m_front = freePort();
+            m_ready = freePort();
+            m_control = freePort();
+        }
+        m_isEnded = false;
         const std::string path = folder + "/" + options.name + ".toml";
         std::ofstream settings(path, std::ios::trunc);
         const auto local = [](int port) { return "\"127.0.0.1:" + std::to_string(port) + "\""; };
