--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -111,6 +111,5 @@
          + " lookups; ends of the processes: " + std::to_string(machines[0].ends) + " and "
          + std::to_string(machines[1].ends));
     const bool isBroken = machines[0].ends >= 3 && machines[1].ends >= 3;
-    machines[1].gateway.kill(SIGKILL);
-    finish(machines[0].gateway, folder, isBroken ? exitBroken : exitHeld);
+    finish(isBroken ? exitBroken : exitHeld);
 }
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -118,6 +118,6 @@
          + std::to_string(failures) + ", refused though run: " + std::to_string(untrue)
          + ", bookings made twice by the caller's retry: " + std::to_string(doubled));
     if (answered < callers * bookings)
-        finish(gateway, folder, exitNotRun);
-    finish(gateway, folder, untrue > 0 ? exitBroken : exitHeld);
+        finish(exitNotRun);
+    finish(untrue > 0 ? exitBroken : exitHeld);
 }
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -159,9 +159,7 @@
     report(bookings);
     // 20 or more on a route that was added later, served less than a quarter as often as the first.
     const bool isBroken = bookings.sent >= 20 && 4 * bookings.share() < lookups.share();
-    for (int i = 1; i < machines; ++i)
-        gateways[i].kill(SIGKILL);
     if (lookups.share() < 0.5)
-        finish(gateways[0], folder, exitNotRun);
-    finish(gateways[0], folder, isBroken ? exitBroken : exitHeld);
+        finish(exitNotRun);
+    finish(isBroken ? exitBroken : exitHeld);
 }
--- a/review/Stage.h
+++ b/review/Stage.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -51,6 +52,10 @@
 /// Ends the process with exit status 2: the case could not be run.
 [[noreturn]] inline void giveUp(const std::string &reason);
 
+/// Processes started and the temporary folder, for the end of the case.
+inline std::vector<pid_t> startedProcesses;
+inline std::string temporaryFolder;
+
 /// Log of a case: what was sent, answered and run. Thread-safe.
 class Record
 {
@@ -591,7 +596,10 @@
         const std::string run = program ? program : "target/bin/gwt-gateway";
         const std::string log = folder + "/" + options.name + ".log";
         m_process = ::fork();
+        if (m_process > 0)
+            startedProcesses.push_back(m_process);
         if (m_process == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // if the case itself is killed
             ::setenv("GODWITTRAY_SETTINGS", path.c_str(), 1);
             if (!std::freopen(log.c_str(), "a", stdout) || !std::freopen(log.c_str(), "a", stderr))
                 ::_exit(127);
@@ -633,17 +641,24 @@
     int control() const { return m_control; }
 
 private:
+    /// A free port below the range of outgoing connections, which could take it otherwise.
     static int freePort()
     {
-        const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        ::bind(handle, reinterpret_cast<sockaddr *>(&address), size);
-        ::getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
-        ::close(handle);
-        return ntohs(address.sin_port);
+        static int next = 20'000 + static_cast<int>(::getpid()) * 37 % 10'000;
+        for (int tries = 0; tries < 1000; ++tries) {
+            const int port = next++;
+            const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            sockaddr_in address{};
+            address.sin_family = AF_INET;
+            address.sin_port = htons(static_cast<std::uint16_t>(port));
+            address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            const bool isFree
+                = ::bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+            ::close(handle);
+            if (isFree)
+                return port;
+        }
+        giveUp("no free port");
     }
 
     pid_t m_process = -1;
@@ -664,12 +679,7 @@
         if (!::mkdtemp(name))
             giveUp("no temporary folder");
         m_path = name;
-    }
-    void remove()
-    {
-        std::error_code ignored;
-        if (!std::getenv("KEEP"))
-            std::filesystem::remove_all(m_path, ignored);
+        temporaryFolder = m_path;
     }
     const std::string &path() const { return m_path; }
 
@@ -683,11 +693,27 @@
     return !trouble || std::string(trouble) != "0";
 }
 
+/// Ends all processes that were started, and removes the temporary folder.
+inline void cleanUp()
+{
+    for (const pid_t process : startedProcesses) {
+        // One that was waited for already is no child any more; its number may be another's.
+        if (::waitpid(process, nullptr, WNOHANG) == 0) {
+            ::kill(process, SIGKILL);
+            ::waitpid(process, nullptr, 0);
+        }
+    }
+    std::error_code ignored;
+    if (!std::getenv("KEEP"))
+        std::filesystem::remove_all(temporaryFolder, ignored);
+}
+
 inline void giveUp(const std::string &reason)
 {
     note("not run: " + reason);
     std::fprintf(stderr, "not run: %s\n", reason.c_str());
-    std::exit(exitNotRun);
+    cleanUp();
+    ::_exit(exitNotRun);
 }
 
 /// A request of a caller.
@@ -724,14 +750,10 @@
 }
 
 /// Ends the case. The threads of the stand-ins still run, so no destructor may.
-[[noreturn]] inline void finish(const Gateway &gateway, Folder &folder, int status)
+[[noreturn]] inline void finish(int status)
 {
-    gateway.kill(SIGKILL);
-    while (gateway.isRunning())
-        pause(10);
-    folder.remove();
+    cleanUp();
     note(status == exitBroken ? "BROKEN" : status == exitHeld ? "held" : "not run");
-    std::fflush(stdout);
     ::_exit(status);
 }
 
