--- a/review/Stage.h
+++ b/review/Stage.h
@@ -503,15 +503,15 @@
         });
     }
     /// Registers in the store, under its id.
-    void registerIn(Store &store, const std::string &state = "ready")
+    void registerIn(Store &store, const std::string &zone = "caico")
     {
         store.put("servers", m_id,
                   {{"service", m_service},
                    {"address", m_server.address()},
-                   {"zone", "caico"},
+                   {"zone", zone},
                    {"version", "v1"},
                    {"slots", 2},
-                   {"state", state},
+                   {"state", "ready"},
                    {"warmupLeftMs", 0},
                    {"seq", 1},
                    {"born", 1765000000000}});
