--- a/review/Stage.h
+++ b/review/Stage.h
@@ -675,8 +675,10 @@
 public:
     Folder()
     {
-        char name[] = "/tmp/review-case-XXXXXX";
-        if (!::mkdtemp(name))
+        std::error_code failure;
+        std::string name
+            = (std::filesystem::temp_directory_path(failure) / "review-case-XXXXXX").string();
+        if (failure || !::mkdtemp(name.data()))
             giveUp("no temporary folder");
         m_path = name;
         temporaryFolder = m_path;
