Accept header fields up to the operator's limit

Cause: the container for fields of Boost.Beast stores offsets in 16 bits and throws std::length_error beyond; the parser runs in the event loop, where nothing catches. The limit was promised by the configuration and not held by the library. Lowering the limit would refuse proper requests, so the gateway keeps fields in strings of its own (WireRequest), filled by a parser that derives from Beast's basic_parser. Trailer fields are dropped: they were merged into the header, where a second X-Request-Id made a proper request fail with 400.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -12,8 +12,6 @@
 
 namespace gwt {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 /// Taken off the caller's deadline, so that a response sent at the last moment still arrives in
@@ -40,11 +38,6 @@
     return Milliseconds(value);
 }
 
-std::string_view viewOf(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 } // namespace
 
 GatewayCore::GatewayCore(boost::asio::io_context &context, TimerQueue &timers,
@@ -154,9 +147,9 @@
     if (m_recorder.record(RequestEnd::Refused, noRank, now - exchange.arrivedAt(), now)) {
         const WireRequest &request = exchange.request();
         logInfo("request_refused",
-                {{"id", std::string(request[m_headerNames.requestId])},
-                 {"host", std::string(request[http::field::host])},
-                 {"path", std::string(request.target())},
+                {{"id", std::string(request.field(m_headerNames.requestId))},
+                 {"host", std::string(request.field("Host"))},
+                 {"path", request.target},
                  {"reason", reason},
                  {"status", status},
                  {"version", configVersion()}});
@@ -171,8 +164,7 @@
     plan.route = &route;
     plan.request = std::make_shared<const ForwardRequest>(exchange->request(), m_headerNames);
     Milliseconds limit = route.timeout.count() > 0 ? route.timeout : Milliseconds(30000);
-    const auto callerTimeout
-        = readMilliseconds(viewOf(exchange->request()[m_headerNames.deadline]));
+    const auto callerTimeout = readMilliseconds(exchange->request().field(m_headerNames.deadline));
     if (callerTimeout) {
         limit = std::min(limit, std::max(*callerTimeout - deadlineMargin, *callerTimeout / 2));
         plan.waitedBefore = m_callerWaits.waitedBefore(route.name, *callerTimeout);
@@ -201,8 +193,7 @@
         refuse(*exchange, 400, "no_request_id");
         return;
     }
-    const Route *route
-        = m_routes->find(viewOf(request[http::field::host]), viewOf(request.target()));
+    const Route *route = m_routes->find(request.field("Host"), request.target);
     if (!route) {
         refuse(*exchange, 404, "no_route");
         return;
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -88,8 +88,7 @@
 
 void GatewayProcess::AdminHandler::handle(std::shared_ptr<CallerExchange> exchange)
 {
-    const auto target = exchange->request().target();
-    const std::string_view path(target.data(), target.size());
+    const std::string_view path = exchange->request().target;
     if (path == m_process.m_listeners.readinessPath) {
         const bool isReady = m_process.m_core.isReady() && !m_process.m_stop.hasBegun();
         exchange->respond({isReady ? 200U : 503U, {}, ""});
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -71,8 +71,8 @@
         const auto connection = std::exchange(m_connection, nullptr);
         if (!connection || !connection->isOpen())
             return;
-        const bool keepAlive = m_request.keep_alive() && connection->mayContinue();
-        connection->write(response, m_request.method() == http::verb::head, keepAlive);
+        const bool keepAlive = m_request.keepAlive && connection->mayContinue();
+        connection->write(response, m_request.method == "HEAD", keepAlive);
     }
     void onDisconnect(std::function<void()> handler) override
     {
@@ -289,8 +289,9 @@
 
 void CallerConnection::write(const CallerResponse &response, bool isHead, bool keepAlive)
 {
-    m_responseRequestId
-        = m_currentExchange ? m_currentExchange->request()[m_context.headerNames.requestId] : "";
+    m_responseRequestId = m_currentExchange
+        ? m_currentExchange->request().field(m_context.headerNames.requestId)
+        : "";
     m_currentExchange.reset();
     m_state = State::Responding;
     m_output = serialize(response, isHead, keepAlive);
@@ -395,7 +396,7 @@
     const Duration age = Clock::now() - m_arrivedAt;
     const bool isReceiving = m_state == State::Receiving && m_hasRequestBytes;
     if (m_state == State::Handling) {
-        const std::string id(m_currentExchange->request()[m_context.headerNames.requestId]);
+        const std::string id(m_currentExchange->request().field(m_context.headerNames.requestId));
         requests.push_back({id, RequestStage::InFlight, age});
     } else if (m_state == State::Responding && m_written < m_output.size()) {
         requests.push_back({m_responseRequestId, RequestStage::Answering, age});
--- a/src/gateway/callers/RequestStream.cpp
+++ b/src/gateway/callers/RequestStream.cpp
@@ -3,6 +3,8 @@
 #include "common/Assert.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
 
 namespace gwt {
 
@@ -16,6 +18,11 @@
 /// unparsed.
 constexpr std::size_t unparsedSlack = 4096;
 
+bool isContinueExpectation(std::string_view value)
+{
+    return boost::beast::iequals({value.data(), value.size()}, "100-continue");
+}
+
 } // namespace
 
 RequestStream::RequestStream(const RequestLimits &limits)
@@ -29,10 +36,7 @@
 
 void RequestStream::beginRequest()
 {
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
-    m_parser->body_limit(m_limits.maxBodyBytes);
+    m_parser.emplace(static_cast<std::uint32_t>(m_limits.maxHeaderBytes), m_limits.maxBodyBytes);
 }
 
 RequestStream::Status RequestStream::fail(const error_code &failure)
@@ -71,8 +75,7 @@
     if (m_parser->is_done())
         return Status::Complete;
     if (!hadHeader && m_parser->is_header_done())
-        m_expectsContinue
-            = boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+        m_expectsContinue = isContinueExpectation(m_parser->request().field("Expect"));
     // The parser limits the header and the body, but not chunk headers and trailers.
     if (m_waiting.size() > m_limits.maxHeaderBytes + unparsedSlack)
         return fail(http::error::header_limit);
@@ -95,8 +98,7 @@
 
 std::string RequestStream::field(std::string_view name) const
 {
-    return isHeaderDone() ? std::string(m_parser->get()[{name.data(), name.size()}])
-                          : std::string();
+    return isHeaderDone() ? std::string(m_parser->request().field(name)) : std::string();
 }
 
 } // namespace gwt
--- a/src/gateway/callers/RequestStream.h
+++ b/src/gateway/callers/RequestStream.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "gateway/forwarding/ForwardRequest.h"
 #include "gateway/routing/Route.h"
+#include "http/RequestParser.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <optional>
 #include <string>
@@ -55,7 +53,7 @@
     const RequestLimits &m_limits;
     boost::beast::flat_buffer m_waiting;
     /// Of the next request; empty before its first parse().
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::optional<RequestParser> m_parser;
     bool m_expectsContinue = false;
     boost::system::error_code m_failure;
 };
--- a/src/gateway/forwarding/ForwardRequest.cpp
+++ b/src/gateway/forwarding/ForwardRequest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forwarding/ForwardRequest.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
 #include <array>
@@ -29,11 +30,6 @@
     return {text.data(), text.size()};
 }
 
-std::string_view view(beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 void appendField(std::string &head, std::string_view name, std::string_view value)
 {
     head.append(name).append(": ").append(value).append("\r\n");
@@ -52,22 +48,19 @@
 
 ForwardRequest::ForwardRequest(const WireRequest &request, const HeaderNames &names)
     : m_names(names)
-    , m_id(request[names.requestId])
-    , m_body(request.body())
-    , m_isHeadRequest(request.method() == http::verb::head)
+    , m_id(request.field(names.requestId))
+    , m_body(request.body)
+    , m_isHeadRequest(request.method == "HEAD")
 {
-    const std::string_view connection = view(request[http::field::connection]);
-    m_head.append(view(request.method_string())).append(" ");
-    m_head.append(view(request.target())).append(" HTTP/1.1\r\n");
-    for (const auto &field : request) {
-        const std::string_view name = view(field.name_string());
-        const bool isSetPerAttempt = beast::iequals(field.name_string(), names.deadline)
-            || beast::iequals(field.name_string(), names.targetServer);
+    const std::string_view connection = request.field("Connection");
+    m_head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const auto &[name, value] : request.fields) {
+        const bool isSetPerAttempt = beast::iequals(view(name), names.deadline)
+            || beast::iequals(view(name), names.targetServer);
         if (!isSetPerAttempt && !isHopByHopField(name, connection))
-            appendField(m_head, name, view(field.value()));
+            appendField(m_head, name, value);
     }
-    const bool hasLength = request.has_content_length() || request.chunked() || !m_body.empty();
-    if (hasLength)
+    if (request.hasBody)
         appendField(m_head, "Content-Length", std::to_string(m_body.size()));
 }
 
--- a/src/gateway/forwarding/ForwardRequest.h
+++ b/src/gateway/forwarding/ForwardRequest.h
@@ -2,16 +2,13 @@
 
 #include "common/Time.h"
 #include "gateway/forwarding/HeaderNames.h"
-
-#include <boost/beast/http.hpp>
+#include "http/WireRequest.h"
 
 #include <string>
 #include <string_view>
 
 namespace gwt {
 
-using WireRequest = boost::beast::http::request<boost::beast::http::string_body>;
-
 /// \brief Serializes a caller's request for backend servers.
 ///
 /// The part of the head that all attempts share is built once.
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -10,4 +10,6 @@
 #include "http/HttpMessage.h"
 #include "http/HttpServer.h"
 #include "http/IdleConnections.h"
+#include "http/RequestParser.h"
 #include "http/RequestParsing.h"
+#include "http/WireRequest.h"
