Hold each request to the limits in force at its first byte

After a raised idleTimeoutMs it was closed at the old time.

Cause: the parser of the next request, with its limits, was made when the connection went idle, and the idle timer was never set again. Now the parser is made with the first byte, and an idle timer that fires compares with the limit in force. A stopping process closes as before.

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -126,7 +126,8 @@
     m_state = State::Receiving;
     m_hasRequestBytes = false;
     m_transferTimeout.reset();
-    armTimeout(Clock::now() + m_context.limits.idleTimeout);
+    m_idleSince = Clock::now();
+    armTimeout(m_idleSince + m_context.limits.idleTimeout);
     receive();
 }
 
@@ -237,14 +238,25 @@
         break;
     }
     if (!m_hasRequestBytes) {
-        if (!hasUnreadBytes())
-            close();
+        onIdleTimeout();
         return;
     }
     const std::string reason = m_requests.isHeaderDone() ? "body_timeout" : "header_timeout";
     rejectRequest(408, reason, reason);
 }
 
+void CallerConnection::onIdleTimeout()
+{
+    if (hasUnreadBytes())
+        return;
+    // The limit may have been raised meanwhile, and callers count on the one in force.
+    const TimePoint expiry = m_idleSince + m_context.limits.idleTimeout;
+    if (Clock::now() < expiry && !m_context.isDraining)
+        armTimeout(expiry);
+    else
+        close();
+}
+
 void CallerConnection::rejectRequest(unsigned status, const std::string &reason,
                                      const std::string &problem)
 {
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -74,6 +74,7 @@
     void armTimeout(TimePoint at);
     void armTransferTimeout(std::size_t bytes);
     void onTimeout();
+    void onIdleTimeout();
     void rejectRequest(unsigned status, const std::string &reason, const std::string &problem);
     void rejectMalformed(const boost::system::error_code &failure);
     void dispatch();
@@ -92,6 +93,7 @@
     std::shared_ptr<Exchange> m_currentExchange; ///< the request being handled; else null
     TimerQueue::Id m_timeout;
     const TimePoint m_connectedAt = Clock::now();
+    TimePoint m_idleSince; ///< when the connection began to wait for the next request
     TimePoint m_arrivedAt;
     std::optional<Duration> m_roundTrip; ///< to the caller; measured at the first request
     std::optional<TransferTimeout> m_transferTimeout; ///< of a body read or a response written
--- a/src/gateway/callers/RequestStream.cpp
+++ b/src/gateway/callers/RequestStream.cpp
@@ -61,6 +61,8 @@
 {
     if (m_failure)
         return Status::Malformed;
+    if (!m_parser && m_waiting.size() == 0)
+        return Status::Incomplete;
     if (!m_parser)
         beginRequest();
     const bool hadHeader = m_parser->is_header_done();
--- a/src/gateway/callers/RequestStream.h
+++ b/src/gateway/callers/RequestStream.h
@@ -24,7 +24,8 @@
         Malformed ///< see failure(); nothing more can be parsed
     };
 
-    /// \brief \a limits must outlive the stream; they are read anew for each request.
+    /// \brief \a limits must outlive the stream. Each request is held to those in force when its
+    /// first byte is parsed.
     explicit RequestStream(const RequestLimits &limits);
 
     void append(const char *data, std::size_t size);
@@ -52,7 +53,7 @@
 
     const RequestLimits &m_limits;
     boost::beast::flat_buffer m_waiting;
-    /// Of the next request; empty before its first parse().
+    /// Of the next request; empty before its first byte is parsed.
     std::optional<RequestParser> m_parser;
     bool m_expectsContinue = false;
     boost::system::error_code m_failure;
