Limit what HttpServer and HttpConnection leave unparsed

What callers saw: a chunked request with a trailer field of 70,000 bytes ended the process (std::length_error, signal 6) of gwt-entry and of all admin pages; a response with such a trailer ended the process of a client of the store.

Cause: the limits of Boost.Beast hold for the header and the body; an incomplete trailer or chunk header stays in a buffer without a limit until it is complete, and its fields then throw. The buffer is limited to 32 KiB now, half of what a field may hold; requests beyond get 431, responses end as bad_reply.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr std::size_t maxReplyBytes = 8U << 20U;
+/// Limit on bytes that the parser has left unparsed, such as an incomplete trailer. Fields of
+/// Boost.Beast throw from 64 KiB.
+constexpr std::size_t maxUnparsedBytes = 32768;
 
 constexpr std::size_t discardBytes = 4096;
 constexpr Milliseconds cancelInterval{1};
@@ -91,7 +94,7 @@
     Endpoint remote;
     beast::tcp_stream stream;
     asio::steady_timer cancelTimer;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxUnparsedBytes};
     std::atomic<bool> reusable = false;
     std::atomic<TimePoint> lastUsed = TimePoint{};
     std::atomic<std::uint64_t> exchangeCount = 0; ///< started so far; numbers the exchanges
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds acceptRetryDelay{20};
 constexpr Milliseconds idleGracePeriod{200}; ///< from listener close to idle connection close
 constexpr std::size_t readBytes = 4096;
+/// Limit on bytes that the parser has left unparsed, such as an incomplete trailer. Fields of
+/// Boost.Beast throw from 64 KiB.
+constexpr std::size_t maxUnparsedBytes = 32768;
 constexpr Milliseconds discardTimeout{500}; ///< to read the rest of a rejected request
 
 } // namespace
@@ -47,7 +50,7 @@
             : stream(std::move(socket))
         { }
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer{maxUnparsedBytes};
         std::atomic<bool> isIdle = true;
         bool isReading = false; ///< a request has been read in part
         bool isHandling = false; ///< a handler runs
--- a/src/http/RequestParsing.cpp
+++ b/src/http/RequestParsing.cpp
@@ -35,7 +35,7 @@
 {
     if (failure == http::error::body_limit)
         return HttpResponse::json(413, errorBody("body_too_large", "the body is too large"));
-    if (failure == http::error::header_limit)
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
         return HttpResponse::json(431, errorBody("headers_too_large", "the headers are too large"));
     if (failure == beast::error::timeout)
         return HttpResponse::json(408, errorBody("request_timeout", "the request came too slowly"));
