Promise that a request has not run only with proof

Cause: SingleForward passed on any status of a backend server. 408, 421, 429 and 503 tell a caller that the request has not run and never will; only X-Not-Executed or 421 proves that. The rule is one for all routes: an untrue promise is no better on an idempotent one. Ruled out as other ways: giveUp() and fail() decide by mayHaveRun(), 408 is sent only for requests that have not arrived whole, queries over shards pass on no status.

--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -4,6 +4,9 @@
 #include "gateway/forwarding/Refusal.h"
 #include "gateway/forwarding/RetryAfter.h"
 
+#include <algorithm>
+#include <array>
+
 namespace gwt {
 
 namespace http = boost::beast::http;
@@ -14,6 +17,14 @@
 /// cancelled.
 constexpr Milliseconds cancelDelay{300};
 
+/// \brief True for a status from which a caller concludes that the request has not run and never
+/// will.
+bool promisesNotRun(unsigned status)
+{
+    constexpr std::array<unsigned, 4> promises{408, 421, 429, 503};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 } // namespace
 
 SingleForward::SingleForward(ForwardingContext &context, RequestPlan plan, std::string service)
@@ -59,11 +70,16 @@
 {
     if (m_isEnded)
         return;
-    if (reply.response) {
-        answer(*reply.response);
+    if (!reply.response) {
+        fail(reply.mayHaveRun ? 502 : 503, reply.reason);
+        return;
+    }
+    // The backend server has not stated that it did not run the request.
+    if (promisesNotRun(reply.response->result_int())) {
+        fail(502, "unproven_refusal");
         return;
     }
-    fail(reply.mayHaveRun ? 502 : 503, reply.reason);
+    answer(*reply.response);
 }
 
 void SingleForward::answer(const WireResponse &response)
