Classify status codes by their first digit

A response 299 to an idempotent request was repeated as if it were no success.

Cause: the classes of Boost.Beast cover the codes that it has names for; all others belong to no class. StatusClass goes by the first digit.

--- a/src/gateway/backends/BackendAttempt.cpp
+++ b/src/gateway/backends/BackendAttempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backends/BackendAttempt.h"
 
 #include "gateway/backends/BackendServer.h"
+#include "http/StatusClass.h"
 
 namespace gwt {
 
@@ -36,7 +37,7 @@
     if (reply.result == AttemptResult::NotRun)
         return SendResult::Refused;
     const bool isServed = reply.result == AttemptResult::Answered
-        && http::to_status_class(reply.response->result()) != http::status_class::server_error;
+        && statusClassOf(reply.response->result_int()) != StatusClass::ServerError;
     return isServed ? SendResult::Served : SendResult::Failed;
 }
 
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -1,11 +1,11 @@
 #include "gateway/forwarding/ServiceCall.h"
 
+#include "http/StatusClass.h"
+
 #include <algorithm>
 
 namespace gwt {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 /// Attempts allowed beyond the route's maxAttempts, for those that ended without having run.
@@ -83,7 +83,7 @@
 
 bool ServiceCall::isSuccess(const WireResponse &response) const
 {
-    return http::to_status_class(response.result()) == http::status_class::successful
+    return statusClassOf(response.result_int()) == StatusClass::Successful
         && response.count(m_context.headerNames.signature) > 0;
 }
 
@@ -128,7 +128,7 @@
         return;
     }
     const bool isUnsigned = reply.result == AttemptResult::Answered
-        && http::to_status_class(reply.response->result()) == http::status_class::successful;
+        && statusClassOf(reply.response->result_int()) == StatusClass::Successful;
     m_reason = reply.reason;
     if (reply.result == AttemptResult::Answered)
         m_reason = isUnsigned ? "unsigned_success" : "backend_error";
@@ -150,7 +150,7 @@
     const bool hasRun
         = reply.result == AttemptResult::Answered || reply.result == AttemptResult::Unknown;
     const bool isClientError = reply.result == AttemptResult::Answered
-        && http::to_status_class(reply.response->result()) == http::status_class::client_error;
+        && statusClassOf(reply.response->result_int()) == StatusClass::ClientError;
     const bool isTooLate = reply.reason == waitExpiredReason || reply.reason == queueTooLongReason;
     if ((hasRun && !m_plan.route->isIdempotent) || isClientError || isTooLate || !maySend())
         return false;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/ClientConnection.h"
 
+#include "http/StatusClass.h"
+
 #include <boost/asio/write.hpp>
 
 #include <netinet/tcp.h>
@@ -266,15 +268,18 @@
     if (m_isHeadExamined || !m_parser->is_header_done())
         return;
     m_isHeadExamined = true;
-    const auto status = http::to_status_class(m_parser->get().result());
-    if (status != http::status_class::informational && m_headHandler)
+    if (!isInterim() && m_headHandler)
         m_isAccepted = m_headHandler(m_parser->get());
 }
 
+bool ClientConnection::isInterim() const
+{
+    return statusClassOf(m_parser->get().result_int()) == StatusClass::Informational;
+}
+
 bool ClientConnection::isSkipped() const
 {
-    const auto status = http::to_status_class(m_parser->get().result());
-    return status == http::status_class::informational || (!m_parser->need_eof() && !m_isAccepted);
+    return isInterim() || (!m_parser->need_eof() && !m_isAccepted);
 }
 
 void ClientConnection::parse()
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -84,6 +84,7 @@
     void parse();
     bool parseBuffer();
     void examineHead();
+    bool isInterim() const;
     bool isSkipped() const;
     void resetParser();
     void finish();
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -12,4 +12,5 @@
 #include "http/IdleConnections.h"
 #include "http/RequestParser.h"
 #include "http/RequestParsing.h"
+#include "http/StatusClass.h"
 #include "http/WireRequest.h"
