Reject a request whose body has no known length

Cause: the parser of Boost.Beast takes a transfer encoding that does not end with chunked for no body. RFC 9112 asks for 400, after which the connection is closed.

--- a/src/http/RequestParser.cpp
+++ b/src/http/RequestParser.cpp
@@ -2,6 +2,8 @@
 
 #include "common/Assert.h"
 
+#include <boost/beast/http/error.hpp>
+
 #include <utility>
 
 namespace gwt {
@@ -37,8 +39,13 @@
             {{nameText.data(), nameText.size()}, {value.data(), value.size()}});
 }
 
-void RequestParser::on_header_impl(Failure &)
+void RequestParser::on_header_impl(Failure &failure)
 {
+    // Where such a body ends is unknown, and what is in it must not be taken for a request.
+    if (!chunked() && m_request.count("Transfer-Encoding") > 0) {
+        failure = http::error::bad_transfer_encoding;
+        return;
+    }
     m_request.keepAlive = keep_alive();
     m_request.hasBody = chunked() || content_length().has_value();
 }
