Close an idle connection where a new one is needed at the limit

Cause: such a request isn't sent on a connection that has been idle for over 500 ms. The old connections stayed open and filled the share of the process, so none could be opened: nothing was used, closed or opened until the servers closed them. Now the least recently used idle connection is closed to make room, outside a backoff of the connection limit. Ruled out: a server at its limit (no connects held), a route that isn't known (503, not 404).

--- a/src/gateway/backends/BackendServer.cpp
+++ b/src/gateway/backends/BackendServer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backends/BackendServer.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace gwt {
 
@@ -56,6 +57,30 @@
     });
 }
 
+bool BackendServer::hasIdleConnection() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto &connection) { return connection->isIdle(); });
+}
+
+void BackendServer::closeIdleConnectionsAbove(int limit)
+{
+    if (connections() <= limit)
+        return;
+    std::vector<std::shared_ptr<ClientConnection>> idle;
+    std::copy_if(m_connections.begin(), m_connections.end(), std::back_inserter(idle),
+                 [](const auto &connection) { return connection->isIdle(); });
+    std::sort(idle.begin(), idle.end(), [](const auto &left, const auto &right) {
+        return left->lastUsed() < right->lastUsed();
+    });
+    for (const auto &connection : idle) {
+        if (connections() <= limit)
+            return;
+        connection->close();
+        removeConnection(connection.get());
+    }
+}
+
 void BackendServer::backOffConnects(TimePoint now)
 {
     m_connectBackoff
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -45,6 +45,10 @@
     void removeConnection(const ClientConnection *connection);
     /// \brief Closes the connections that carry no request.
     void closeIdleConnections();
+    /// \brief Closes idle connections, the least recently used first, until \a limit connections
+    /// are left or none is idle.
+    void closeIdleConnectionsAbove(int limit);
+    bool hasIdleConnection() const;
     int connections() const { return static_cast<int>(m_connections.size()) + m_pendingConnects; }
     int pendingConnects() const { return m_pendingConnects; }
     void beginConnect() { ++m_pendingConnects; }
--- a/src/gateway/backends/ServerConnector.cpp
+++ b/src/gateway/backends/ServerConnector.cpp
@@ -24,6 +24,7 @@
 
 void ServerConnector::open(const std::shared_ptr<BackendServer> &server, int maxConnections)
 {
+    server->closeIdleConnectionsAbove(maxConnections - 1);
     if (server->connections() >= maxConnections)
         return;
     server->beginConnect();
--- a/src/gateway/backends/ServerConnector.h
+++ b/src/gateway/backends/ServerConnector.h
@@ -17,7 +17,8 @@
     ServerConnector(PoolContext &context, const std::string &service,
                     std::function<void()> onChange);
 
-    /// \brief Opens a connection to \a server, unless it has \a maxConnections.
+    /// \brief Opens a connection to \a server; one that has \a maxConnections loses its least
+    /// recently used idle connection first, and gets no new one if all are in use.
     void open(const std::shared_ptr<BackendServer> &server, int maxConnections);
     /// \brief Holds off new connections to \a server, which is at its connection limit.
     void backOff(BackendServer &server);
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -177,8 +177,9 @@
             send(attempt, choice, now);
             continue;
         }
-        if (choice.server
-            && ++neededConnections[choice.server.get()] > choice.server->pendingConnects())
+        const bool needsConnection = choice.server
+            && ++neededConnections[choice.server.get()] > choice.server->pendingConnects();
+        if (needsConnection && mayConnect(*choice.server, now))
             m_connector.open(choice.server, m_connectionShare);
         ++it;
     }
@@ -201,9 +202,7 @@
             || !server->hold().mayReceive(server->inFlight(), now))
             continue;
         auto connection = server->idleConnection(now, maxIdle);
-        const bool mayOpen = server->pendingConnects() > 0
-            || (server->connections() < m_connectionShare && now >= server->connectBackoffUntil());
-        if (!connection && !mayOpen)
+        if (!connection && server->pendingConnects() == 0 && !mayConnect(*server, now))
             continue;
         Duration cost = expectedLatency(*server, attempt.typicalLatency, now);
         if (!connection)
@@ -216,6 +215,12 @@
     return best;
 }
 
+bool ServicePool::mayConnect(const BackendServer &server, TimePoint now) const
+{
+    return now >= server.connectBackoffUntil()
+        && (server.connections() < m_connectionShare || server.hasIdleConnection());
+}
+
 Duration ServicePool::expectedLatency(const BackendServer &server, Duration typicalLatency,
                                       TimePoint now) const
 {
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -71,6 +71,8 @@
     Duration expectedLatency(const BackendServer &server, Duration typicalLatency,
                              TimePoint now) const;
     Choice choose(const BackendAttempt &attempt, TimePoint now);
+    /// \brief True if a connection to \a server may be opened, in place of an idle one if need be.
+    bool mayConnect(const BackendServer &server, TimePoint now) const;
     /// \brief Ends the queued \a attempt if it could not be answered in time, else bounds its wait.
     void limitQueueWait(const std::shared_ptr<BackendAttempt> &attempt);
     void send(const std::shared_ptr<BackendAttempt> &attempt, const Choice &choice, TimePoint now);
