Close the idle connections beyond a share that has fallen

What callers would see: a process that was alone, or counted fewer others, holds up to all connections of a backend server; those that join find it at its limit and are reset, until the server closes the idle ones.

Cause: the share was only read when a connection was to be opened. Now idle connections beyond it are closed when it falls, and those in use once they are idle. Attempts that wait for a connection are sent when it grows.

--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -29,6 +29,15 @@
     , m_connector(context, m_service, [this] { dispatch(); })
 { }
 
+void ServicePool::setConnectionShare(int connections)
+{
+    m_connectionShare = connections;
+    for (const auto &[id, server] : m_servers)
+        server->closeIdleConnectionsAbove(connections);
+    // Queued attempts may be waiting for a connection beyond the former share.
+    boost::asio::post(m_context.ioContext, [this] { dispatch(); });
+}
+
 void ServicePool::setServer(const BackendEntry &entry)
 {
     std::shared_ptr<BackendServer> &server = m_servers[entry.id];
@@ -336,6 +345,7 @@
         attempt->server->removeConnection(attempt->connection.get());
     if (!attempt->server->isUsable())
         attempt->server->closeIdleConnections();
+    attempt->server->closeIdleConnectionsAbove(m_connectionShare);
     attempt->connection.reset();
 }
 
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -22,8 +22,9 @@
 
     void setServer(const BackendEntry &entry);
     void removeServer(const std::string &id);
-    /// \brief Sets how many connections this process may hold to each backend server.
-    void setConnectionShare(int connections) { m_connectionShare = connections; }
+    /// \brief Sets how many connections this process may hold to each backend server. Idle ones
+    /// beyond that are closed now, those in use once they are idle.
+    void setConnectionShare(int connections);
     int connectionShare() const { return m_connectionShare; }
 
     /// \brief Sends \a attempt as soon as a connection is free; its handler may run at once.
