Refuse for now what a process without a configuration finds too large

Cause: the limits had no sign of being defaults. They have one now, and the answer is 503 with Retry-After, as for all other requests of such a process.

Evidence: StartLimitsTest, 2 of 2 rows red before (431, 413), green now.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -21,8 +21,6 @@
 /// Memory for replies that are being received, which backend servers may send without end: a fifth
 /// of the memory of a small host.
 constexpr std::size_t maxReplyBytes = 32U << 20U;
-/// Retry-After of a process that has just started and has no configuration yet.
-constexpr Milliseconds startupRetryAfter{200};
 /// Retry-After of a process that is stopping; the others can serve the request at once.
 constexpr Milliseconds stopRetryAfter{20};
 /// Multiple of the typical latency that must be left for a request that may run only once: if it is
@@ -72,6 +70,7 @@
              {"routes", config.routes.size()},
              {"services", config.services.size()}});
     m_limits = config.limits;
+    m_limits.isInForce = true;
     m_configAppliedAt = Clock::now();
     m_routes = std::make_shared<const RouteTable>(config);
     m_backends.setConnectionLimits(*m_routes, m_fleetSize);
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callers/CallerConnection.h"
 
 #include "common/Log.h"
+#include "gateway/forwarding/Refusal.h"
 
 #include <array>
 
@@ -242,7 +243,7 @@
         return;
     }
     const std::string reason = m_requests.isHeaderDone() ? "body_timeout" : "header_timeout";
-    rejectRequest(408, reason, reason);
+    rejectRequest({408, {}, ""}, reason, reason);
 }
 
 void CallerConnection::onIdleTimeout()
@@ -257,7 +258,7 @@
         close();
 }
 
-void CallerConnection::rejectRequest(unsigned status, const std::string &reason,
+void CallerConnection::rejectRequest(const CallerResponse &response, const std::string &reason,
                                      const std::string &problem)
 {
     m_context.metrics
@@ -265,14 +266,21 @@
                  {{"reason", reason}})
         .Increment();
     const std::string id = m_requests.field(m_context.headerNames.requestId);
-    logInfo("bad_request", {{"id", id}, {"status", status}, {"problem", problem}});
-    write({status, {}, ""}, false, false);
+    logInfo("bad_request", {{"id", id}, {"status", response.status}, {"problem", problem}});
+    write(response, false, false);
 }
 
 void CallerConnection::rejectMalformed(const error_code &failure)
 {
     const unsigned status = statusOf(failure);
-    rejectRequest(status, std::to_string(status), failure.message());
+    const bool isBeyondLimit = status != 400;
+    if (isBeyondLimit && !m_context.limits.isInForce) {
+        // The configuration may allow this request; a caller doesn't repeat it after 413 or 431.
+        const std::string reason = "no_configuration";
+        rejectRequest(makeRefusal(503, reason, startupRetryAfter), reason, failure.message());
+        return;
+    }
+    rejectRequest({status, {}, ""}, std::to_string(status), failure.message());
 }
 
 void CallerConnection::dispatch()
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -75,7 +75,8 @@
     void armTransferTimeout(std::size_t bytes);
     void onTimeout();
     void onIdleTimeout();
-    void rejectRequest(unsigned status, const std::string &reason, const std::string &problem);
+    void rejectRequest(const CallerResponse &response, const std::string &reason,
+                       const std::string &problem);
     void rejectMalformed(const boost::system::error_code &failure);
     void dispatch();
     void write(const CallerResponse &response, bool isHead, bool keepAlive);
--- a/src/gateway/routing/Route.h
+++ b/src/gateway/routing/Route.h
@@ -55,6 +55,7 @@
     std::size_t maxBodyBytes = 262144;
     Milliseconds headerTimeout{3000};
     Milliseconds idleTimeout{15000};
+    bool isInForce = false; ///< set by a configuration, which may allow more than the defaults
 };
 
 /// \brief One version of the operator's configuration; immutable once it is published.
--- a/test/RaisedLimitsTest.cpp
+++ b/test/RaisedLimitsTest.cpp
@@ -63,5 +63,41 @@
                                limits(16'384, 1000, 400ms), "", 0, 300ms}),
     [](const auto &info) { return info.param.name; });
 
+struct StartCase
+{
+    std::string name;
+    std::string fields;
+    std::size_t bodyBytes;
+};
+
+class StartLimitsTest : public GatewayTest, public testing::WithParamInterface<StartCase>
+{ };
+
+// Guards against a process that denies a request for good, by limits that the configuration, which
+// it doesn't know yet, may raise.
+TEST_P(StartLimitsTest, aLargeRequestIsRefusedForNowWithoutAConfiguration)
+{
+    const std::string length
+        = "Content-Length: " + std::to_string(GetParam().bodyBytes) + "\r\n" + GetParam().fields;
+    const std::string bytes = request("/one/1", length, std::string(GetParam().bodyBytes, 'b'));
+    const auto before = exchange(bytes);
+    ASSERT_TRUE(isOk(before)) << errorOf(before).reason;
+    EXPECT_EQ(valueOf(before).result_int(), 503U);
+    EXPECT_EQ(fieldOf(valueOf(before), "Retry-After"), "0.200");
+    addServer("s", {okResponse("ok")});
+    addSingleRoute(true);
+    m_config.limits = limits(131'072, 1U << 20U, 15s);
+    start();
+    const auto after = exchange(bytes);
+    ASSERT_TRUE(isOk(after)) << errorOf(after).reason;
+    EXPECT_EQ(valueOf(after).result_int(), 200U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, StartLimitsTest,
+    testing::Values(StartCase{"header", "X-Session: " + std::string(40'000, 's') + "\r\n", 0},
+                    StartCase{"body", "", 300'000}),
+    [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace gwt::test
