--- a/test/ScriptedServer.cpp
+++ b/test/ScriptedServer.cpp
@@ -1,11 +1,32 @@
 #include "ScriptedServer.h"
 
+#include "http/RequestParser.h"
+
 namespace gwt::test {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+namespace {
+
+constexpr std::uint32_t maxHeaderBytes = 1U << 20U;
+constexpr std::uint64_t maxBodyBytes = 1U << 20U;
+constexpr std::size_t maxFieldBytes = 60'000; ///< what fields of Boost.Beast hold, roughly
+
+ServerRequest toServerRequest(const WireRequest &received)
+{
+    ServerRequest request;
+    request.method_string(received.method);
+    request.target(received.target);
+    for (const WireRequest::Field &field : received.fields)
+        request.insert(field.name.substr(0, maxFieldBytes), field.value.substr(0, maxFieldBytes));
+    request.body() = received.body;
+    return request;
+}
+
+} // namespace
+
 struct ScriptedServer::Session
 {
     explicit Session(asio::ip::tcp::socket connected)
@@ -14,7 +35,7 @@
 
     asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
-    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<RequestParser> parser;
 };
 
 ScriptedServer::ScriptedServer(asio::io_context &context, TimerQueue &timers, Script script)
@@ -65,7 +86,7 @@
 
 void ScriptedServer::read(const std::shared_ptr<Session> &session)
 {
-    session->parser.emplace();
+    session->parser.emplace(maxHeaderBytes, maxBodyBytes);
     http::async_read(session->socket, session->buffer, *session->parser,
                      [this, session](const error_code &failure, std::size_t) {
                          if (failure == asio::error::operation_aborted)
@@ -74,7 +95,7 @@
                              ++m_closedByPeer;
                              return;
                          }
-                         const ServerRequest request = session->parser->release();
+                         const ServerRequest request = toServerRequest(session->parser->release());
                          m_requests.push_back(request);
                          read(session);
                          answer(session, request);
--- a/test/ScriptedServer.h
+++ b/test/ScriptedServer.h
@@ -15,6 +15,7 @@
 
 namespace gwt::test {
 
+/// \brief A request that a ScriptedServer has received; of very long fields only the start.
 using ServerRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 /// \brief Response of a ScriptedServer to one request.
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -25,6 +25,8 @@
 /// A request that was sent within this time before its connection ends may have crossed the close.
 constexpr Milliseconds closeRaceTime{200};
 constexpr int defaultSlots = 2;
+/// Limit on the header of a request; above what fields of Boost.Beast hold.
+constexpr int maxHeaderBytes = 131'072;
 constexpr int manySlots = 64; ///< of servers whose requests take long
 constexpr int versionBackends = 64; ///< more than the versions that a soak publishes
 
@@ -45,6 +47,7 @@
     {"backend slow", &Soak::backendSlow},
     {"backend full", &Soak::backendFull},
     {"backend fails", &Soak::backendFails},
+    {"backend refuses after execution", &Soak::backendRefusesAfterwards},
     {"backend loses replies", &Soak::backendLosesReplies},
     {"backend repeats replies", &Soak::backendRepeatsReplies},
     {"backend never ends replies", &Soak::backendNeverEnds},
@@ -150,7 +153,7 @@
         services.push_back({{"name", shard}, {"healthPath", "/h"}, {"maxConnections", 20}});
     }
     const std::string versionService = "version-" + std::to_string(m_version);
-    services.push_back({{"name", "single"}, {"healthPath", "/h"}, {"maxConnections", 30}});
+    services.push_back({{"name", "single"}, {"healthPath", "/h"}, {"maxConnections", 12}});
     services.push_back({{"name", "long"}, {"healthPath", "/h"}, {"maxConnections", 400}});
     services.push_back({{"name", versionService}, {"healthPath", "/h"}, {"maxConnections", 30}});
     const auto route = [](const char *name, const char *prefix, const char *kind) {
@@ -174,7 +177,8 @@
         "config", "main",
         json::object{{"version", m_version},
                      {"routes", json::array{query, safe, once, version, longRoute}},
-                     {"services", services}});
+                     {"services", services},
+                     {"limits", {{"maxHeaderBytes", maxHeaderBytes}}}});
 }
 
 std::vector<Endpoint> Soak::seeds() const
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -79,6 +79,7 @@
     void backendSlow() { injectBackendFault(SoakBackend::Mode::Slow); }
     void backendFull() { injectBackendFault(SoakBackend::Mode::Full); }
     void backendFails() { injectBackendFault(SoakBackend::Mode::Fails); }
+    void backendRefusesAfterwards() { injectBackendFault(SoakBackend::Mode::RefusesAfterwards); }
     void backendLosesReplies() { injectBackendFault(SoakBackend::Mode::LosesReplies); }
     void backendRepeatsReplies() { injectBackendFault(SoakBackend::Mode::RepeatsReplies); }
     void backendNeverEnds() { injectBackendFault(SoakBackend::Mode::NeverEndsReplies); }
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -101,6 +101,10 @@
         return {good, slowWork};
     case Mode::Fails:
         return {httpResponse(500, fields, "failed"), work};
+    case Mode::RefusesAfterwards: {
+        constexpr std::array<int, 3> statuses{408, 429, 503};
+        return {httpResponse(statuses.at(m_random() % statuses.size()), fields, "failed"), work};
+    }
     case Mode::LosesReplies:
         return {"", work, true};
     case Mode::RepeatsReplies:
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -24,6 +24,7 @@
         Full, ///< refuses without executing the request
         Sheds, ///< refuses, and asks for no requests for a while
         Fails, ///< executes the request and answers 500
+        RefusesAfterwards, ///< executes the request and answers 408, 429 or 503
         LosesReplies, ///< executes the request and closes the connection without a reply
         RepeatsReplies, ///< sends each reply twice
         NeverEndsReplies ///< sends a header, a body or a trailer until the caller closes
--- a/test/soak/SoakCaller.cpp
+++ b/test/soak/SoakCaller.cpp
@@ -14,6 +14,12 @@
 constexpr const char *paths[KindCount] = {"/all/1", "/safe/1", "/once/1", "/version/1", "/long/1"};
 constexpr const char *unsafeIdMarker = "-once-";
 constexpr Milliseconds pause{15};
+/// Now and then, so that connections to backend servers become too old for unsafe requests.
+constexpr Milliseconds longPause{600};
+constexpr std::uint64_t requestsPerLongPause = 40;
+/// Now and then a request has a field that is longer than those of Boost.Beast may be.
+constexpr std::size_t longFieldBytes = 70'000;
+constexpr std::uint64_t requestsPerLongField = 40;
 constexpr Milliseconds deadline{900};
 /// The caller disconnects if there is no response by shortly after the deadline.
 constexpr Milliseconds replyTimeout{1200};
@@ -21,6 +27,12 @@
 /// Time without a fault after which a gateway has to be up to date.
 constexpr std::chrono::seconds settleTime{4};
 
+/// True for a status that promises that the request has not been executed and never will be.
+bool promisesNotRun(unsigned status)
+{
+    return status == 503 || status == 429 || status == 421 || status == 408;
+}
+
 std::set<std::string> split(const std::string &text)
 {
     std::set<std::string> parts;
@@ -105,7 +117,11 @@
         = m_name + (kind == Unsafe ? unsafeIdMarker : "-") + std::to_string(++m_number);
     const std::string bytes = "GET " + std::string(paths[kind])
         + " HTTP/1.1\r\nHost: soak\r\nX-Request-Id: " + id
-        + "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n\r\n";
+        + "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n"
+        + (m_random() % requestsPerLongField == 0
+               ? "X-Session: " + std::string(longFieldBytes, 's') + "\r\n"
+               : "")
+        + "\r\n";
     m_replyTimer = m_timers.after(replyTimeout, [this, id] {
         m_connection->close();
         recordFailure(id, "no response before the timeout");
@@ -114,7 +130,8 @@
     m_connection->exchange(bytes, false, nullptr, [this, id, kind](Outcome<WireResponse> outcome) {
         m_timers.cancel(m_replyTimer);
         onResponse(id, kind, outcome);
-        m_timers.after(pause, [this] { sendNext(); });
+        m_timers.after(m_random() % requestsPerLongPause == 0 ? longPause : pause,
+                       [this] { sendNext(); });
     });
 }
 
@@ -128,7 +145,7 @@
         return;
     }
     const WireResponse &response = valueOf(outcome);
-    if (response.result_int() == 503) {
+    if (promisesNotRun(response.result_int())) {
         ++m_findings.refusals;
         if (kind == Unsafe)
             m_findings.refused.push_back(id);
