Match responses without an id only where they can belong to one request

Cause: a response without X-Request-Id was taken for the one to the request that waits, and a refusal for proof that it had not run. On a connection that has carried other responses it is skipped now, if it refuses a request that may run only once or if the server is known to echo ids. A server that refuses without ids gets such requests on unused connections only.

--- a/src/gateway/backends/BackendAttempt.cpp
+++ b/src/gateway/backends/BackendAttempt.cpp
@@ -7,6 +7,12 @@
 
 namespace http = boost::beast::http;
 
+bool isRefusal(const WireResponse &response, const HeaderNames &names)
+{
+    return response.result() == http::status::misdirected_request
+        || response.count(names.notRun) > 0;
+}
+
 AttemptReply makeReply(const BackendAttempt &attempt, Outcome<WireResponse> outcome,
                        const HeaderNames &names, TimePoint now)
 {
@@ -21,8 +27,8 @@
         return reply;
     }
     WireResponse &response = valueOf(outcome);
-    const bool isMisdirected = response.result() == http::status::misdirected_request;
-    if (isMisdirected || response.count(names.notRun) > 0) {
+    if (isRefusal(response, names)) {
+        const bool isMisdirected = response.result() == http::status::misdirected_request;
         reply.result = AttemptResult::NotRun;
         reply.reason = isMisdirected ? misdirectedReason : "refused_by_backend";
     } else {
--- a/src/gateway/backends/BackendAttempt.h
+++ b/src/gateway/backends/BackendAttempt.h
@@ -65,12 +65,15 @@
     std::uint64_t number = 0;
     std::shared_ptr<BackendServer> server; ///< null while it is queued
     std::shared_ptr<ClientConnection> connection;
+    bool isFirstOnConnection = true; ///< no response preceded it, of which bytes may be left over
     TimePoint sentAt;
     TimerQueue::Id deadlineTimer;
     TimerQueue::Id queueTimer; ///< set while it is queued
     bool isEnded = false;
 };
 
+/// \brief True if \a response states that the backend server did not run the request.
+bool isRefusal(const WireResponse &response, const HeaderNames &names);
 /// \brief Interprets the end of the exchange of \a attempt, which was sent.
 AttemptReply makeReply(const BackendAttempt &attempt, Outcome<WireResponse> outcome,
                        const HeaderNames &names, TimePoint now);
--- a/src/gateway/backends/BackendServer.cpp
+++ b/src/gateway/backends/BackendServer.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-std::shared_ptr<ClientConnection> BackendServer::idleConnection(TimePoint now, Duration maxIdle)
+std::shared_ptr<ClientConnection> BackendServer::idleConnection(TimePoint now, Duration maxIdle,
+                                                                bool mayBeUsed)
 {
     std::shared_ptr<ClientConnection> newest;
     std::vector<std::shared_ptr<ClientConnection>> expired;
@@ -27,6 +28,8 @@
             continue;
         if (connection->keepAliveExpiry() < now + closeMargin)
             expired.push_back(connection);
+        else if (!mayBeUsed && connection->hasReceivedResponse())
+            continue;
         else if (!newest || connection->lastUsed() > newest->lastUsed())
             newest = connection;
     }
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -38,9 +38,10 @@
 
     /// \brief Returns the most recently used idle connection, or null.
     ///
-    /// It has been idle for at most \a maxIdle. Connections past the server's idle timeout are
-    /// closed.
-    std::shared_ptr<ClientConnection> idleConnection(TimePoint now, Duration maxIdle);
+    /// It has been idle for at most \a maxIdle, and without \a mayBeUsed has carried no request.
+    /// Connections past the server's idle timeout are closed.
+    std::shared_ptr<ClientConnection> idleConnection(TimePoint now, Duration maxIdle,
+                                                     bool mayBeUsed);
     void addConnection(std::shared_ptr<ClientConnection> connection);
     void removeConnection(const ClientConnection *connection);
     /// \brief Closes the connections that carry no request.
@@ -62,6 +63,16 @@
     bool wasAtConnectionLimit(TimePoint now) const;
     TimePoint connectBackoffUntil() const { return m_connectBackoffUntil; }
 
+    /// \brief Records a response that carried the id of its request.
+    void recordEchoedId() { m_echoesIds = true; }
+    /// \brief True if some response of this server has carried the id of its request.
+    bool echoesIds() const { return m_echoesIds; }
+    /// \brief Records a refusal that carried no id.
+    void recordAnonymousRefusal() { m_hasAnonymousRefusals = true; }
+    /// \brief True if some refusal of this server has carried no id. On a connection that was used
+    /// before, such a refusal may be left over from an earlier request.
+    bool hasAnonymousRefusals() const { return m_hasAnonymousRefusals; }
+
     void beginAttempt(TimePoint now) { m_sentTimes.insert(now); }
     void endAttempt(TimePoint sentAt);
     int inFlight() const { return static_cast<int>(m_sentTimes.size()); }
@@ -78,6 +89,8 @@
     TimePoint m_connectBackoffUntil; ///< epoch: the server was never at its limit
     Duration m_connectBackoff{0};
     bool m_isRetired = false;
+    bool m_echoesIds = false;
+    bool m_hasAnonymousRefusals = false;
 };
 
 } // namespace gwt
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -210,7 +210,8 @@
         if (!isCandidate(*server, attempt, now)
             || !server->hold().mayReceive(server->inFlight(), now))
             continue;
-        auto connection = server->idleConnection(now, maxIdle);
+        const bool mayBeUsed = attempt.isIdempotent || !server->hasAnonymousRefusals();
+        auto connection = server->idleConnection(now, maxIdle, mayBeUsed);
         if (!connection && server->pendingConnects() == 0 && !mayConnect(*server, now))
             continue;
         Duration cost = expectedLatency(*server, attempt.typicalLatency, now);
@@ -254,6 +255,7 @@
 {
     attempt->server = choice.server;
     attempt->connection = choice.connection;
+    attempt->isFirstOnConnection = !choice.connection->hasReceivedResponse();
     attempt->sentAt = now;
     m_context.timers.cancel(attempt->queueTimer);
     choice.server->beginAttempt(now);
@@ -272,12 +274,26 @@
     const auto id = head.find(m_context.headerNames.requestId);
     if (id != head.end() && id->value() != attempt->request->id())
         return false;
+    if (id != head.end())
+        attempt->server->recordEchoedId();
     const TimePoint now = Clock::now();
     const auto until
         = m_context.holds.record(m_service, *attempt->server, head, attempt->request->id(), now);
     if (until)
         startHold(attempt->server, *until, now);
-    return true;
+    return id != head.end() || belongsWithoutId(*attempt, head);
+}
+
+bool ServicePool::belongsWithoutId(const BackendAttempt &attempt, const WireResponse &head)
+{
+    const bool refuses = isRefusal(head, m_context.headerNames);
+    if (refuses)
+        attempt.server->recordAnonymousRefusal();
+    if (attempt.isFirstOnConnection)
+        return true;
+    // A faulty server may have sent it behind an earlier response. Taken for proof, it would have a
+    // request that may run only once run again elsewhere.
+    return refuses ? attempt.isIdempotent : !attempt.server->echoesIds();
 }
 
 void ServicePool::startHold(const std::shared_ptr<BackendServer> &server, TimePoint until,
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -80,6 +80,8 @@
     void onReply(const std::shared_ptr<BackendAttempt> &attempt, Outcome<WireResponse> outcome);
     /// \brief Returns false if the response with \a head belongs to an earlier request.
     bool onResponseHead(const std::shared_ptr<BackendAttempt> &attempt, const WireResponse &head);
+    /// \brief Whether the response with \a head, which carries no id, belongs to \a attempt.
+    bool belongsWithoutId(const BackendAttempt &attempt, const WireResponse &head);
     void startHold(const std::shared_ptr<BackendServer> &server, TimePoint until, TimePoint now);
     void expire(const std::shared_ptr<BackendAttempt> &attempt);
     void finish(const std::shared_ptr<BackendAttempt> &attempt, AttemptReply reply);
