Bound admission from the demand while normal traffic is unknown

Cause: the first bound was computed from the rate admitted in the last interval, which the limit on unanswered queries had cut to 0; the floor follows from a normal rate that a new process doesn't know. Now the bound starts from the demand until there was traffic without pressure, and never falls below the rate that measures the pressure. With a known normal rate nothing changes but that floor.

--- a/src/gateway/policy/AdaptiveAdmission.cpp
+++ b/src/gateway/policy/AdaptiveAdmission.cpp
@@ -15,6 +15,7 @@
     RankLoad &load = m_ranks[rank];
     const double seconds = std::chrono::duration<double>(work).count();
     load.offered += seconds;
+    m_queryWork = seconds;
     if (!isBelowUnansweredLimit(load))
         return false;
     load.credit = std::min(load.credit + load.share, 1.0);
@@ -86,12 +87,23 @@
         = std::min(1.0, static_cast<double>(m_pressureSamples) / m_rules.fullWeightSamples);
     const double factor = 1 - weight * (1 - std::max(m_rules.minDecreaseFactor, 1 / pressure));
     const double normalRate = sum(&RankLoad::normalRate);
-    const double currentRate = isBounded() ? m_capacity : sum(&RankLoad::admittedRate);
+    // Until there was traffic without pressure, the limit on unanswered queries may have held back
+    // almost all others, so that the rate admitted says nothing about the backend servers.
+    const double unboundedRate
+        = normalRate > 0 ? sum(&RankLoad::admittedRate) : sum(&RankLoad::demand);
+    const double currentRate = isBounded() ? m_capacity : unboundedRate;
     const double minCapacity = isBounded() ? m_rules.minNormalRateShare * normalRate : normalRate;
-    m_capacity = std::max({currentRate * factor, minCapacity, std::numeric_limits<double>::min()});
+    m_capacity = std::max({currentRate * factor, minCapacity, probingRate()});
     m_decreasedAt = now;
 }
 
+double AdaptiveAdmission::probingRate() const
+{
+    const double rate = m_rules.minUnansweredLimit * m_queryWork
+        / std::chrono::duration<double>(m_rules.maxInterval).count();
+    return std::max(rate, std::numeric_limits<double>::min());
+}
+
 void AdaptiveAdmission::updateNormalRates()
 {
     for (auto &[rank, load] : m_ranks)
--- a/src/gateway/policy/AdaptiveAdmission.h
+++ b/src/gateway/policy/AdaptiveAdmission.h
@@ -66,6 +66,8 @@
     bool isBelowUnansweredLimit(const RankLoad &load) const;
     double sum(double RankLoad::*field) const;
     void decreaseCapacity(double pressure, TimePoint now);
+    /// \brief Capacity that admits enough queries to measure the pressure in each interval.
+    double probingRate() const;
     void allocateCapacity();
 
     const AdaptiveAdmissionRules m_rules;
@@ -74,6 +76,7 @@
     /// Time of the last decrease. Queries admitted before it measure the earlier load and are
     /// ignored.
     TimePoint m_decreasedAt;
+    double m_queryWork = 0; ///< work of the last query offered, in seconds
     double m_pressureSum = 0;
     int m_pressureSamples = 0;
     TimePoint m_intervalStart;
--- a/test/AdaptiveAdmissionTest.cpp
+++ b/test/AdaptiveAdmissionTest.cpp
@@ -131,6 +131,22 @@
     EXPECT_FALSE(admission.isBounded());
 }
 
+// A process that starts in a flood has never seen normal traffic.
+TEST_P(AdmissionFloodTest, aFloodFromTheStartLeavesCapacityUseful)
+{
+    AdaptiveAdmission admission;
+    QueueModel model(admission);
+    const auto outcomes = model.simulate(GetParam().traffic, true, 0s, 10s);
+    int inTarget = 0;
+    for (const auto &[rank, outcome] : outcomes)
+        inTarget += outcome.inTarget;
+    const double capacity = 10s / queryWork;
+    EXPECT_GE(inTarget / capacity, GetParam().minUsefulShare);
+    model.simulate(GetParam().traffic, false, 10s, 12s);
+    for (const auto &[rank, outcome] : model.simulate(GetParam().traffic, false, 12s, 15s))
+        EXPECT_EQ(outcome.refused, 0) << "after the flood, rank " << rank;
+}
+
 TEST_P(AdmissionFloodTest, unlimitedBaselineMissesMostTargets)
 {
     UnlimitedAdmission unlimited;
@@ -140,7 +156,8 @@
     int inTarget = 0;
     for (const auto &[rank, outcome] : outcomes)
         inTarget += outcome.inTarget;
-    EXPECT_LT(inTarget / (10s / queryWork), 0.1);
+    const double capacity = 10s / queryWork;
+    EXPECT_LT(inTarget / capacity, 0.1);
 }
 
 // The capacity is 100 queries per second; rank 0 normally sends 15 and rank 1 sends 30. At least
