Send the requests of IdleConnectionTest and FleetGrowthTest at once

On a busy machine the first response arrived before the last caller had connected, and its connection was used again: 7 connections in place of 8 in one run of FleetGrowthTest.smallestShare. Callers connect first now and then send together, and the server takes 50 ms.

--- a/test/FleetGrowthTest.cpp
+++ b/test/FleetGrowthTest.cpp
@@ -20,16 +20,17 @@
 TEST_P(FleetGrowthTest, idleConnectionsBeyondTheShareAreClosed)
 {
     const FleetCase &fleet = GetParam();
-    ScriptedServer &server = addServer("s", {okResponse("ok"), 20ms});
+    ScriptedServer &server = addServer("s", {okResponse("ok"), 50ms});
     addSingleRoute(true);
     m_config.services.push_back({"s", "/health", 12});
     start();
     m_core.onMembers(std::vector<FleetMember>(1));
     std::vector<std::shared_ptr<ClientConnection>> callers;
     int served = 0;
-    for (int i = 0; i < fleet.lookups; ++i) {
+    for (int i = 0; i < fleet.lookups; ++i)
         callers.push_back(connect());
-        callers.back()->exchange(
+    for (const auto &caller : callers) {
+        caller->exchange(
             request("/one/1"), false, nullptr,
             [&](const Outcome<WireResponse> &outcome) { served += isOk(outcome) ? 1 : 0; });
     }
--- a/test/IdleConnectionTest.cpp
+++ b/test/IdleConnectionTest.cpp
@@ -38,14 +38,16 @@
         std::vector<std::shared_ptr<ClientConnection>> callers;
         int ended = 0;
         int served = 0;
-        for (int i = 0; i < count; ++i) {
+        for (int i = 0; i < count; ++i)
             callers.push_back(connect());
-            callers.back()->exchange(
-                request(path, "X-Deadline-Ms: 1000\r\n"), false, nullptr,
-                [&](const Outcome<WireResponse> &outcome) {
-                    ++ended;
-                    served += isOk(outcome) && valueOf(outcome).result_int() == 200 ? 1 : 0;
-                });
+        for (const auto &caller : callers) {
+            caller->exchange(request(path, "X-Deadline-Ms: 1000\r\n"), false, nullptr,
+                             [&](const Outcome<WireResponse> &outcome) {
+                                 ++ended;
+                                 served += isOk(outcome) && valueOf(outcome).result_int() == 200
+                                     ? 1
+                                     : 0;
+                             });
         }
         runUntil(m_context, [&] { return ended == count; });
         for (const auto &caller : callers)
