Count an idempotent request that a doubtful refusal ends as an attempt

A refusal without an id on a connection that was used before may be left over from an earlier request; the request has then run, but was sent on uncounted, to up to attempts + 2 servers.

Cause: any refusal freed an attempt. Now only one that can belong to nothing else does; another one is retried as before, counts, and makes the final status 502 instead of 503. The second try after all servers refused checks the count too.

--- a/src/gateway/backends/BackendAttempt.h
+++ b/src/gateway/backends/BackendAttempt.h
@@ -42,7 +42,15 @@
     /// The server closed a new connection without a reply: it seems to be at its connection limit.
     /// That is no proof that the request hasn't run.
     bool isAtConnectionLimit = false;
+    /// With NotRun: the refusal may have been meant for an earlier request on the connection.
+    bool isUnproven = false;
     Duration elapsed{0}; ///< from the send to the end
+
+    /// \brief True if the backend server may have started to run the request.
+    bool mayHaveRun() const
+    {
+        return result == AttemptResult::Answered || result == AttemptResult::Unknown || isUnproven;
+    }
 };
 
 /// \brief One attempt to get a request answered by a backend server of a service.
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -113,10 +113,8 @@
         m_contactedServers.push_back(reply.backendId);
     if (!m_handler)
         return;
-    const bool mayHaveRun
-        = reply.result == AttemptResult::Answered || reply.result == AttemptResult::Unknown;
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    if (mayHaveRun)
+    m_mayHaveRun = m_mayHaveRun || reply.mayHaveRun();
+    if (reply.mayHaveRun())
         ++m_countedAttempts;
     if (reply.result == AttemptResult::Answered && isSuccess(*reply.response)) {
         m_context.hedges.record(m_plan.route->name, reply.elapsed);
@@ -203,9 +201,9 @@
             return;
         self->m_triedServers.clear();
         const TimePoint now = Clock::now();
-        const bool maySend
-            = self->m_pool.hasServer(now) && self->spendRetryBudget(RetryKind::AfterFailure, now);
-        if (maySend) {
+        const bool canSend = self->maySend() && self->m_pool.hasServer(now)
+            && self->spendRetryBudget(RetryKind::AfterFailure, now);
+        if (canSend) {
             self->countRetry("not_run");
             self->send();
             return;
--- a/test/AttemptLimitTest.cpp
+++ b/test/AttemptLimitTest.cpp
@@ -13,6 +13,7 @@
     std::string name;
     double lost; ///< share of the responses that are lost with their connection
     double closed; ///< share of the other responses that close their connection
+    double surplus = 0; ///< share of the responses that stand behind a refusal without an id
 };
 
 class AttemptLimitTest : public GatewayTest,
@@ -30,11 +31,16 @@
     RandomEngine random(static_cast<std::uint64_t>(std::get<1>(GetParam())));
     std::uniform_real_distribution<double> share(0, 1);
     std::map<std::string, std::set<int>> serversOf;
+    std::set<int> inUse; ///< servers whose connection has carried a response
     for (int number = 0; number < servers; ++number) {
         addServer("s", [&, number](const ServerRequest &request) {
             serversOf[std::string(request["X-Request-Id"])].insert(number);
             if (share(random) < losses.lost)
                 return ScriptedReply{"", 1ms, true};
+            // Left over from an earlier request on the connection.
+            const bool isInUse = !inUse.insert(number).second;
+            if (isInUse && losses.surplus > 0 && share(random) < losses.surplus)
+                return ScriptedReply{httpResponse(503, "X-Not-Executed: 1\r\n", "")};
             const bool closes = share(random) < losses.closed;
             return ScriptedReply{
                 okResponse("ok", signatureField + (closes ? "Connection: close\r\n" : "")), 1ms};
@@ -57,7 +63,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Losses, AttemptLimitTest,
                          testing::Combine(testing::Values(LossCase{"mostlyUsed", 0.4, 0.3},
-                                                          LossCase{"mostlyNew", 0.4, 0.8}),
+                                                          LossCase{"mostlyNew", 0.4, 0.8},
+                                                          LossCase{"surplusRefusals", 0, 0, 0.6}),
                                           testing::Range(1, 4)),
                          [](const auto &info) {
                              return std::get<0>(info.param).name
