Split the serialization of responses from CallerConnection

Responses are serialized by toWire() in CallerResponse.cpp, the status of a malformed request is RequestStream's, and HttpServer and HttpConnection share ParserLimits.h.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -23,6 +23,7 @@
 #include "gateway/backends/ServicePool.h"
 #include "gateway/callers/CallerConnection.h"
 #include "gateway/callers/CallerExchange.h"
+#include "gateway/callers/CallerResponse.h"
 #include "gateway/callers/CallerServer.h"
 #include "gateway/callers/OpenRequest.h"
 #include "gateway/callers/RequestStream.h"
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -12,7 +12,6 @@
 namespace gwt {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
@@ -23,31 +22,6 @@
 constexpr Milliseconds firstRequestTime{200};
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
-unsigned statusOf(const error_code &failure)
-{
-    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
-        return 431;
-    return failure == http::error::body_limit ? 413 : 400;
-}
-
-std::string serialize(const CallerResponse &response, bool isHead, bool keepAlive)
-{
-    std::string text;
-    text.reserve(256 + response.body.size());
-    const auto reason = http::obsolete_reason(http::int_to_status(response.status));
-    text.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
-    text.append(reason.data(), reason.size()).append("\r\n");
-    for (const auto &[name, value] : response.fields)
-        text.append(name).append(": ").append(value).append("\r\n");
-    text.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
-    if (!keepAlive)
-        text.append("Connection: close\r\n");
-    text.append("\r\n");
-    if (!isHead)
-        text.append(response.body);
-    return text;
-}
-
 } // namespace
 
 /// A request being handled.
@@ -272,7 +246,7 @@
 
 void CallerConnection::rejectMalformed(const error_code &failure)
 {
-    const unsigned status = statusOf(failure);
+    const unsigned status = RequestStream::statusFor(failure);
     const bool isBeyondLimit = status != 400;
     if (isBeyondLimit && !m_context.limits.isInForce) {
         // The configuration may allow this request; a caller doesn't repeat it after 413 or 431.
@@ -314,7 +288,7 @@
         : "";
     m_currentExchange.reset();
     m_state = State::Responding;
-    m_output = serialize(response, isHead, keepAlive);
+    m_output = toWire(response, isHead, keepAlive);
     m_written = 0;
     m_transferTimeout.reset();
     continueWrite(keepAlive);
--- a/src/gateway/callers/CallerExchange.h
+++ b/src/gateway/callers/CallerExchange.h
@@ -1,23 +1,13 @@
 #pragma once
 
 #include "common/Time.h"
-#include "gateway/forwarding/ForwardRequest.h"
+#include "gateway/callers/CallerResponse.h"
+#include "http/WireRequest.h"
 
 #include <functional>
-#include <string>
-#include <utility>
-#include <vector>
 
 namespace gwt {
 
-/// \brief A response to a caller; Content-Length and Connection are added when it is written.
-struct CallerResponse
-{
-    unsigned status = 200;
-    std::vector<std::pair<std::string, std::string>> fields;
-    std::string body;
-};
-
 /// \brief One request of a caller and the means to respond to it.
 class CallerExchange
 {
--- a/src/gateway/callers/RequestStream.cpp
+++ b/src/gateway/callers/RequestStream.cpp
@@ -98,6 +98,13 @@
     return std::exchange(m_expectsContinue, false);
 }
 
+unsigned RequestStream::statusFor(const error_code &failure)
+{
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow)
+        return 431;
+    return failure == http::error::body_limit ? 413 : 400;
+}
+
 std::string RequestStream::field(std::string_view name) const
 {
     return isHeaderDone() ? std::string(m_parser->request().field(name)) : std::string();
--- a/src/gateway/callers/RequestStream.h
+++ b/src/gateway/callers/RequestStream.h
@@ -46,6 +46,9 @@
     std::string field(std::string_view name) const;
     /// \brief The reason for Malformed, an error of Boost.Beast.
     const boost::system::error_code &failure() const { return m_failure; }
+    /// \brief Status of the response to a request that ended with \a failure: 431 or 413 beyond a
+    /// limit, else 400.
+    static unsigned statusFor(const boost::system::error_code &failure);
 
 private:
     void beginRequest();
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -10,6 +10,7 @@
 #include "http/HttpMessage.h"
 #include "http/HttpServer.h"
 #include "http/IdleConnections.h"
+#include "http/ParserLimits.h"
 #include "http/RequestParser.h"
 #include "http/RequestParsing.h"
 #include "http/StatusClass.h"
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "common/LowerCase.h"
 #include "common/Timer.h"
+#include "http/ParserLimits.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -19,9 +20,6 @@
 namespace {
 
 constexpr std::size_t maxReplyBytes = 8U << 20U;
-/// Limit on bytes that the parser has left unparsed, such as an incomplete trailer. Fields of
-/// Boost.Beast throw from 64 KiB.
-constexpr std::size_t maxUnparsedBytes = 32768;
 
 constexpr std::size_t discardBytes = 4096;
 constexpr Milliseconds cancelInterval{1};
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Listener.h"
 #include "common/Sleep.h"
+#include "http/ParserLimits.h"
 #include "http/RequestParsing.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -26,9 +27,6 @@
 constexpr Milliseconds acceptRetryDelay{20};
 constexpr Milliseconds idleGracePeriod{200}; ///< from listener close to idle connection close
 constexpr std::size_t readBytes = 4096;
-/// Limit on bytes that the parser has left unparsed, such as an incomplete trailer. Fields of
-/// Boost.Beast throw from 64 KiB.
-constexpr std::size_t maxUnparsedBytes = 32768;
 constexpr Milliseconds discardTimeout{500}; ///< to read the rest of a rejected request
 
 } // namespace
