Read requests of HttpServer with RequestParser; surplus bytes in the soak

What callers saw: gwt-entry and the pages of the daemons took a request with "Transfer-Encoding: gzip" for one without a body and served what followed as a request of its own, as the gateway did before. One parser for both servers gives both the same limits and checks.

Evidence: HttpServerTest.aBodyOfUnknownLengthGets400 red before (no 400, the second request answered 200), green now.

--- a/src/gateway/backends/BackendServer.cpp
+++ b/src/gateway/backends/BackendServer.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 std::shared_ptr<ClientConnection> BackendServer::idleConnection(TimePoint now, Duration maxIdle,
-                                                                bool mayBeUsed)
+                                                                bool mayHaveCarried)
 {
     std::shared_ptr<ClientConnection> newest;
     std::vector<std::shared_ptr<ClientConnection>> expired;
@@ -28,7 +28,7 @@
             continue;
         if (connection->keepAliveExpiry() < now + closeMargin)
             expired.push_back(connection);
-        else if (!mayBeUsed && connection->hasReceivedResponse())
+        else if (!mayHaveCarried && connection->hasReceivedResponse())
             continue;
         else if (!newest || connection->lastUsed() > newest->lastUsed())
             newest = connection;
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -38,10 +38,10 @@
 
     /// \brief Returns the most recently used idle connection, or null.
     ///
-    /// It has been idle for at most \a maxIdle, and without \a mayBeUsed has carried no request.
-    /// Connections past the server's idle timeout are closed.
+    /// It has been idle for at most \a maxIdle; unless \a mayHaveCarried, it has carried no request
+    /// yet. Connections past the server's idle timeout are closed.
     std::shared_ptr<ClientConnection> idleConnection(TimePoint now, Duration maxIdle,
-                                                     bool mayBeUsed);
+                                                     bool mayHaveCarried);
     void addConnection(std::shared_ptr<ClientConnection> connection);
     void removeConnection(const ClientConnection *connection);
     /// \brief Closes the connections that carry no request.
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -210,8 +210,8 @@
         if (!isCandidate(*server, attempt, now)
             || !server->hold().mayReceive(server->inFlight(), now))
             continue;
-        const bool mayBeUsed = attempt.isIdempotent || !server->hasAnonymousRefusals();
-        auto connection = server->idleConnection(now, maxIdle, mayBeUsed);
+        const bool mayHaveCarried = attempt.isIdempotent || !server->hasAnonymousRefusals();
+        auto connection = server->idleConnection(now, maxIdle, mayHaveCarried);
         if (!connection && server->pendingConnects() == 0 && !mayConnect(*server, now))
             continue;
         Duration cost = expectedLatency(*server, attempt.typicalLatency, now);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "common/Listener.h"
 #include "common/Sleep.h"
 #include "http/ParserLimits.h"
+#include "http/RequestParser.h"
 #include "http/RequestParsing.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,6 +28,7 @@
 constexpr Milliseconds acceptRetryDelay{20};
 constexpr Milliseconds idleGracePeriod{200}; ///< from listener close to idle connection close
 constexpr std::size_t readBytes = 4096;
+constexpr std::uint32_t maxHeaderBytes = 8192;
 constexpr Milliseconds discardTimeout{500}; ///< to read the rest of a rejected request
 
 } // namespace
@@ -234,8 +236,7 @@
 
 Task<bool> HttpServer::Impl::serveOne(ConnectionPtr connection)
 {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(limits.maxBodyBytes);
+    RequestParser parser(maxHeaderBytes, limits.maxBodyBytes);
     if (connection->buffer.size() == 0 && !co_await awaitRequest(connection))
         co_return false;
     ++inProgress;
@@ -267,9 +268,8 @@
         --inProgress;
         co_return false;
     }
-    auto message = parser.release();
-    const bool keepAlive = message.keep_alive();
-    HttpRequest request = toRequest(std::move(message));
+    const bool keepAlive = parser.request().keepAlive;
+    HttpRequest request = toRequest(parser.release());
     request.isFirstOnConnection = std::exchange(connection->isFirstRequest, false);
     HttpResponse response = co_await runHandler(connection, std::move(request));
     if (connection->isEnded)
--- a/src/http/RequestParsing.cpp
+++ b/src/http/RequestParsing.cpp
@@ -3,6 +3,7 @@
 #include "common/LowerCase.h"
 
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
 
 namespace gwt {
 
@@ -20,14 +21,14 @@
 
 } // namespace
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
+HttpRequest toRequest(WireRequest message)
 {
     HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message)
-        request.headers[lowerCase(field.name_string())] = std::string(field.value());
-    request.body = std::move(message.body());
+    request.method = std::move(message.method);
+    request.target = std::move(message.target);
+    for (WireRequest::Field &field : message.fields)
+        request.headers[lowerCase(field.name)] = std::move(field.value);
+    request.body = std::move(message.body);
     return request;
 }
 
--- a/src/http/RequestParsing.h
+++ b/src/http/RequestParsing.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "http/HttpMessage.h"
+#include "http/WireRequest.h"
 
-#include <boost/beast/http.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <optional>
@@ -10,7 +10,7 @@
 namespace gwt {
 
 /// \brief Converts a parsed request; header names become lower-case.
-HttpRequest toRequest(boost::beast::http::request<boost::beast::http::string_body> &&message);
+HttpRequest toRequest(WireRequest message);
 /// \brief Maps the error of reading a request to an error response; empty if none can be sent.
 std::optional<HttpResponse> errorResponseFor(const boost::system::error_code &failure);
 
--- a/test/HttpServerTest.cpp
+++ b/test/HttpServerTest.cpp
@@ -111,5 +111,21 @@
     EXPECT_EQ(answer.rfind("HTTP/1.1 400", 0), 0U) << answer;
 }
 
+// Guards against a request that is smuggled inside the body of another one.
+TEST_F(HttpServerTest, aBodyOfUnknownLengthGets400)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(m_address.address), m_address.port});
+    asio::write(socket,
+                asio::buffer(std::string("POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n"
+                                         "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    std::string answer;
+    boost::system::error_code end;
+    asio::read(socket, asio::dynamic_buffer(answer), end);
+    EXPECT_EQ(answer.rfind("HTTP/1.1 400", 0), 0U) << answer;
+    EXPECT_EQ(answer.find("200"), std::string::npos) << answer;
+}
+
 } // namespace
 } // namespace gwt
--- a/test/ScriptedServer.cpp
+++ b/test/ScriptedServer.cpp
@@ -105,6 +105,9 @@
 void ScriptedServer::answer(const std::shared_ptr<Session> &session, const ServerRequest &request)
 {
     const ScriptedReply reply = m_script(request);
+    if (!reply.late.empty())
+        m_timers.after(reply.delay + reply.lateDelay,
+                       [session, reply] { write(session, ScriptedReply{reply.late}); });
     if (reply.delay == Duration::zero()) {
         write(session, reply);
         return;
--- a/test/ScriptedServer.h
+++ b/test/ScriptedServer.h
@@ -25,6 +25,8 @@
     Duration delay{0};
     bool closes = false; ///< after the bytes
     std::string endless = {}; ///< written after the bytes, again and again until the peer closes
+    std::string late = {}; ///< written lateDelay after the bytes
+    Duration lateDelay{0};
 };
 
 /// \brief HTTP server on a loopback port that answers by a script and records the requests.
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -50,6 +50,7 @@
     {"backend refuses after execution", &Soak::backendRefusesAfterwards},
     {"backend loses replies", &Soak::backendLosesReplies},
     {"backend repeats replies", &Soak::backendRepeatsReplies},
+    {"backend sends surplus bytes", &Soak::backendSendsSurplus},
     {"backend never ends replies", &Soak::backendNeverEnds},
     {"backend cut", &Soak::backendCut},
     {"backend leaves", &Soak::backendLeaves},
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -82,6 +82,7 @@
     void backendRefusesAfterwards() { injectBackendFault(SoakBackend::Mode::RefusesAfterwards); }
     void backendLosesReplies() { injectBackendFault(SoakBackend::Mode::LosesReplies); }
     void backendRepeatsReplies() { injectBackendFault(SoakBackend::Mode::RepeatsReplies); }
+    void backendSendsSurplus() { injectBackendFault(SoakBackend::Mode::SendsSurplus); }
     void backendNeverEnds() { injectBackendFault(SoakBackend::Mode::NeverEndsReplies); }
     void backendSheds() { injectBackendFault(SoakBackend::Mode::Sheds); }
     void backendAnnouncesEnd();
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t longWork = 600; ///< milliseconds at most, at the service "long"
 const std::string leavingField = "Server-Leaving: 1\r\n";
 constexpr std::chrono::seconds sheddingPause{1};
+constexpr std::uint64_t longestSurplusDelay = 30; ///< milliseconds; often behind the next request
 
 } // namespace
 
@@ -109,6 +110,11 @@
         return {"", work, true};
     case Mode::RepeatsReplies:
         return {good + good, work};
+    case Mode::SendsSurplus: {
+        const std::string surplus = httpResponse(503, "X-Not-Executed: 1\r\n", "");
+        const Milliseconds lateDelay(1 + static_cast<int>(m_random() % longestSurplusDelay));
+        return {good, work, false, "", surplus, lateDelay};
+    }
     case Mode::NeverEndsReplies:
         return endlessReply(fields);
     case Mode::Serves:
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -27,6 +27,7 @@
         RefusesAfterwards, ///< executes the request and answers 408, 429 or 503
         LosesReplies, ///< executes the request and closes the connection without a reply
         RepeatsReplies, ///< sends each reply twice
+        SendsSurplus, ///< sends a refusal without an id some time behind each reply
         NeverEndsReplies ///< sends a header, a body or a trailer until the caller closes
     };
 
