--- a/test/FleetGrowthTest.cpp
+++ b/test/FleetGrowthTest.cpp
@@ -27,6 +27,7 @@
     m_core.onMembers(std::vector<FleetMember>(1));
     std::vector<std::shared_ptr<ClientConnection>> callers;
     int served = 0;
+    callers.reserve(static_cast<std::size_t>(fleet.lookups));
     for (int i = 0; i < fleet.lookups; ++i)
         callers.push_back(connect());
     for (const auto &caller : callers) {
--- a/test/IdleConnectionTest.cpp
+++ b/test/IdleConnectionTest.cpp
@@ -38,6 +38,7 @@
         std::vector<std::shared_ptr<ClientConnection>> callers;
         int ended = 0;
         int served = 0;
+        callers.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             callers.push_back(connect());
         for (const auto &caller : callers) {
