Keep 503 for idempotent requests that servers refuse without ids

Cause: the doubt went into the status. It counts towards attempts only now, and only for a server that is known to echo ids: one that never does refuses without them as a matter of course, and an idempotent request may run again.

--- a/src/gateway/backends/BackendAttempt.cpp
+++ b/src/gateway/backends/BackendAttempt.cpp
@@ -31,7 +31,8 @@
         const bool isMisdirected = response.result() == http::status::misdirected_request;
         reply.result = AttemptResult::NotRun;
         reply.reason = isMisdirected ? misdirectedReason : "refused_by_backend";
-        reply.isUnproven = response.count(names.requestId) == 0 && !attempt.isFirstOnConnection;
+        reply.isUnproven = response.count(names.requestId) == 0 && !attempt.isFirstOnConnection
+            && attempt.server->echoesIds();
     } else {
         reply.result = AttemptResult::Answered;
     }
--- a/src/gateway/backends/BackendAttempt.h
+++ b/src/gateway/backends/BackendAttempt.h
@@ -42,14 +42,14 @@
     /// The server closed a new connection without a reply: it seems to be at its connection limit.
     /// That is no proof that the request hasn't run.
     bool isAtConnectionLimit = false;
-    /// With NotRun: the refusal may have been meant for an earlier request on the connection.
+    /// With NotRun: the refusal may be left over from an earlier request on the connection.
     bool isUnproven = false;
     Duration elapsed{0}; ///< from the send to the end
 
     /// \brief True if the backend server may have started to run the request.
     bool mayHaveRun() const
     {
-        return result == AttemptResult::Answered || result == AttemptResult::Unknown || isUnproven;
+        return result == AttemptResult::Answered || result == AttemptResult::Unknown;
     }
 };
 
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -114,7 +114,7 @@
     if (!m_handler)
         return;
     m_mayHaveRun = m_mayHaveRun || reply.mayHaveRun();
-    if (reply.mayHaveRun())
+    if (reply.mayHaveRun() || reply.isUnproven)
         ++m_countedAttempts;
     if (reply.result == AttemptResult::Answered && isSuccess(*reply.response)) {
         m_context.hedges.record(m_plan.route->name, reply.elapsed);
@@ -145,8 +145,7 @@
 
 bool ServiceCall::retry(const AttemptReply &reply)
 {
-    const bool hasRun
-        = reply.result == AttemptResult::Answered || reply.result == AttemptResult::Unknown;
+    const bool hasRun = reply.mayHaveRun();
     const bool isClientError = reply.result == AttemptResult::Answered
         && statusClassOf(reply.response->result_int()) == StatusClass::ClientError;
     const bool isTooLate = reply.reason == waitExpiredReason || reply.reason == queueTooLongReason;
--- a/test/AttemptLimitTest.cpp
+++ b/test/AttemptLimitTest.cpp
@@ -34,7 +34,8 @@
     std::set<int> inUse; ///< servers whose connection has carried a response
     for (int number = 0; number < servers; ++number) {
         addServer("s", [&, number](const ServerRequest &request) {
-            serversOf[std::string(request["X-Request-Id"])].insert(number);
+            const std::string id(request["X-Request-Id"]);
+            serversOf[id].insert(number);
             if (share(random) < losses.lost)
                 return ScriptedReply{"", 1ms, true};
             // Left over from an earlier request on the connection.
@@ -42,8 +43,9 @@
             if (isInUse && losses.surplus > 0 && share(random) < losses.surplus)
                 return ScriptedReply{httpResponse(503, "X-Not-Executed: 1\r\n", "")};
             const bool closes = share(random) < losses.closed;
-            return ScriptedReply{
-                okResponse("ok", signatureField + (closes ? "Connection: close\r\n" : "")), 1ms};
+            const std::string fields = signatureField + "X-Request-Id: " + id + "\r\n";
+            return ScriptedReply{okResponse("ok", fields + (closes ? "Connection: close\r\n" : "")),
+                                 1ms};
         });
     }
     addSingleRoute(true);
