Identify the team of a caller by its API key

Change: a configuration with teams holds the digests of their keys; requests without a known key get 401 unless the route allows anonymous callers, Authorization and the caller's team field are dropped and the team is set by the gateway, the rank of a team goes before that of its route, and a quota gate is asked before admission. Without teams requests are forwarded as before.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -32,6 +32,7 @@
     options.availabilityZone = settings.availabilityZone;
     options.retryBudget = retryBudgetRulesOf(settings);
     options.shutdownTimeout = shutdownTimeoutOf(settings);
+    options.keyProofLimit = settings.keyProofLimit;
     return options;
 }
 
@@ -55,9 +56,11 @@
     gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state,
                                      limits.watchWait(), limits.backendWatchWait());
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
+    core.setConfigAge([&sharing] { return sharing.registryAge(gwt::Clock::now()); });
     gwt::platform::SettingsWatch watch(timers, path, settings,
                                        [&core, &process](const PlatformSettings &changed) {
                                            core.setRetryBudgetRules(retryBudgetRulesOf(changed));
+                                           core.setKeyProofLimit(changed.keyProofLimit);
                                            process.setShutdownTimeout(shutdownTimeoutOf(changed));
                                        });
     const gwt::GatewayStatus status(options, core, state, sharing);
--- a/fuzz/PlatformStoreFuzz.cpp
+++ b/fuzz/PlatformStoreFuzz.cpp
@@ -14,7 +14,8 @@
 void decodeAsEveryKind(const platform::StoreObject &object)
 {
     platform::decodeBackend(object);
-    platform::decodeConfig(object.spec);
+    std::vector<std::string> faults;
+    platform::decodeConfig(object.spec, faults);
     platform::decodeHost(object);
     platform::decodeValue(object.spec);
 }
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -26,6 +26,13 @@
 /// Multiple of the typical latency that must be left for a request that may run only once: if it is
 /// ended, its caller cannot repeat it.
 constexpr int unsafeFinishMargin = 4;
+/// Longest wait for the quota of a team: well above a call to another host, below any target.
+constexpr Milliseconds maxQuotaWait{30};
+constexpr int quotaWaitDivisor = 4; ///< and the part of the target that it may take
+/// Retry-After of a request whose quota could not be checked. The caller then reaches another host.
+constexpr Milliseconds unknownQuotaRetryAfter{200};
+/// Retry-After of a request beyond the quota, which refills all the time.
+constexpr Milliseconds overQuotaRetryAfter{1000};
 
 std::optional<Milliseconds> readMilliseconds(std::string_view text)
 {
@@ -39,7 +46,8 @@
 } // namespace
 
 GatewayCore::GatewayCore(boost::asio::io_context &context, TimerQueue &timers,
-                         GatewayOptions options, const HeaderNames &headerNames, Metrics &metrics)
+                         GatewayOptions options, const HeaderNames &headerNames, Metrics &metrics,
+                         QuotaGate *quota)
     : m_options(std::move(options))
     , m_headerNames(headerNames)
     , m_timers(timers)
@@ -57,6 +65,8 @@
     , m_recorder(metrics)
     , m_forwarding{timers,  m_backends,  m_hedges, m_delivery, m_admission,
                    m_merge, headerNames, metrics,  m_recorder, m_fleetSize}
+    , m_quota(quota)
+    , m_keyProofLimit(m_options.keyProofLimit)
 { }
 
 void GatewayCore::onConfig(const RoutingConfig &config)
@@ -161,7 +171,6 @@
     RequestPlan plan;
     plan.routes = m_routes;
     plan.route = &route;
-    plan.request = std::make_shared<const ForwardRequest>(exchange->request(), m_headerNames);
     Milliseconds limit = route.timeout.count() > 0 ? route.timeout : Milliseconds(30000);
     const auto callerTimeout = readMilliseconds(exchange->request().field(m_headerNames.deadline));
     if (callerTimeout) {
@@ -169,6 +178,7 @@
         plan.waitedBefore = m_callerWaits.waitedBefore(route.name, *callerTimeout);
     }
     plan.deadline = exchange->arrivedAt() + limit;
+    plan.rank = route.rank;
     plan.exchange = std::move(exchange);
     return plan;
 }
@@ -202,12 +212,82 @@
         return;
     }
     RequestPlan requestPlan = plan(std::move(exchange), *route);
-    if (route->isShardQuery()) {
-        std::make_shared<ShardQueryRun>(m_forwarding, std::move(requestPlan))->start();
+    if (!identifyCaller(requestPlan))
+        return;
+    std::optional<std::string> forwardedTeam;
+    if (m_routes->config().hasTeams)
+        forwardedTeam = requestPlan.team ? requestPlan.team->name : std::string();
+    requestPlan.request
+        = std::make_shared<const ForwardRequest>(request, m_headerNames, forwardedTeam);
+    checkQuota(std::move(requestPlan));
+}
+
+bool GatewayCore::identifyCaller(RequestPlan &plan)
+{
+    if (!plan.routes->config().hasTeams)
+        return true;
+    const WireRequest &request = plan.exchange->request();
+    // With several such fields it is open which key counts.
+    const bool hasKey = request.count(m_headerNames.authorization) == 1;
+    if (hasKey)
+        plan.team
+            = plan.routes->teams().find(bearerToken(request.field(m_headerNames.authorization)));
+    if (!plan.team && !plan.route->allowsAnonymous) {
+        refuse(*plan.exchange, 401, "unknown_key");
+        return false;
+    }
+    if (!plan.team)
+        return true;
+    plan.rank = plan.team->rank.value_or(plan.rank);
+    if (m_keyProofLimit && m_configAge && m_configAge() > *m_keyProofLimit) {
+        refuse(*plan.exchange, 503, "unproven_key", unknownQuotaRetryAfter);
+        return false;
+    }
+    return true;
+}
+
+void GatewayCore::checkQuota(RequestPlan plan)
+{
+    if (!m_quota || !plan.team || !plan.team->quota.isLimited()) {
+        forward(std::move(plan));
+        return;
+    }
+    const Duration wait = std::min<Duration>(maxQuotaWait, plan.route->target / quotaWaitDivisor);
+    const TimePoint deadline = std::min(plan.exchange->arrivedAt() + wait, plan.deadline);
+    const auto isGone = std::make_shared<bool>(false);
+    plan.exchange->onDisconnect([isGone] { *isGone = true; });
+    const Team &team = *plan.team;
+    m_quota->acquire(team, deadline,
+                     [this, isGone, plan = std::move(plan)](QuotaDecision decision) {
+                         if (!*isGone)
+                             onQuotaDecision(plan, decision);
+                     });
+}
+
+void GatewayCore::onQuotaDecision(RequestPlan plan, const QuotaDecision &decision)
+{
+    plan.excess = decision.excess;
+    switch (decision.outcome) {
+    case QuotaOutcome::Granted:
+        forward(std::move(plan));
+        return;
+    case QuotaOutcome::OverLimit:
+        refuse(*plan.exchange, 429, "over_quota", overQuotaRetryAfter);
+        return;
+    case QuotaOutcome::Unknown:
+        refuse(*plan.exchange, 503, "quota_unknown", unknownQuotaRetryAfter);
+        return;
+    }
+}
+
+void GatewayCore::forward(RequestPlan plan)
+{
+    if (plan.route->isShardQuery()) {
+        std::make_shared<ShardQueryRun>(m_forwarding, std::move(plan))->start();
         return;
     }
-    const std::string &service = m_weightedSplit.next(*route);
-    std::make_shared<SingleForward>(m_forwarding, std::move(requestPlan), service)->start();
+    const std::string &service = m_weightedSplit.next(*plan.route);
+    std::make_shared<SingleForward>(m_forwarding, std::move(plan), service)->start();
 }
 
 } // namespace gwt
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -3,6 +3,7 @@
 #include "gateway/GatewayOptions.h"
 #include "gateway/forwarding/ForwardingContext.h"
 #include "gateway/policy/CallerWaitEstimator.h"
+#include "gateway/quota/QuotaGate.h"
 #include "gateway/routing/WeightedSplit.h"
 #include "gateway/sharing/FleetState.h"
 
@@ -12,8 +13,12 @@
 class GatewayCore : public RequestHandler, public StateObserver
 {
 public:
+    /// \brief Time since the configuration was last proved to be the newest.
+    using ConfigAge = std::function<Duration()>;
+
+    /// \brief \a quota checks the quotas of teams; null: none are enforced.
     GatewayCore(boost::asio::io_context &context, TimerQueue &timers, GatewayOptions options,
-                const HeaderNames &headerNames, Metrics &metrics);
+                const HeaderNames &headerNames, Metrics &metrics, QuotaGate *quota = nullptr);
 
     void handle(std::shared_ptr<CallerExchange> exchange) override;
 
@@ -32,6 +37,12 @@
     /// those that can't be expected to finish by then, are refused.
     void setStopTime(TimePoint end) { m_stopTime = end; }
 
+    /// \brief Sets the source of the age that the limit on unproven API keys is compared with.
+    void setConfigAge(ConfigAge age) { m_configAge = std::move(age); }
+    /// \brief Sets the age of the configuration above which requests with an API key are refused,
+    /// as the key may have been removed; without a value they are not.
+    void setKeyProofLimit(std::optional<Milliseconds> limit) { m_keyProofLimit = limit; }
+
     /// \brief Replaces the rules of the retry and hedging budget.
     void setRetryBudgetRules(RetryBudgetRules rules) { m_backends.setRetryBudgetRules(rules); }
 
@@ -53,7 +64,12 @@
     void scheduleExpiry();
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
     bool canFinish(const Route &route, TimePoint now) const;
+    /// \brief Sets the team of the caller in \a plan; false if the request was refused instead.
+    bool identifyCaller(RequestPlan &plan);
     RequestPlan plan(std::shared_ptr<CallerExchange> exchange, const Route &route);
+    void checkQuota(RequestPlan plan);
+    void onQuotaDecision(RequestPlan plan, const QuotaDecision &decision);
+    void forward(RequestPlan plan);
     void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
                 std::optional<Milliseconds> retryAfter = std::nullopt);
 
@@ -80,6 +96,9 @@
     ForwardingContext m_forwarding;
     TimerQueue::Id m_expiryTimer;
     TimePoint m_stopTime = TimePoint::max();
+    QuotaGate *const m_quota;
+    ConfigAge m_configAge;
+    std::optional<Milliseconds> m_keyProofLimit;
 };
 
 } // namespace gwt
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -3,6 +3,7 @@
 #include "common/Time.h"
 #include "gateway/policy/RetryBudget.h"
 
+#include <optional>
 #include <string>
 
 namespace gwt {
@@ -13,6 +14,8 @@
     std::string hostName;
     std::string availabilityZone;
     RetryBudgetRules retryBudget;
+    /// Age of the configuration above which API keys are not accepted; without a value they are.
+    std::optional<Milliseconds> keyProofLimit = std::nullopt;
     /// Time after an outage of the registry for which entries that vanished in it are retained.
     Milliseconds registryRecoveryGrace{2000};
     /// Number of processes assumed to share connections and budgets until it is known.
--- a/src/gateway/forwarding/ForwardRequest.cpp
+++ b/src/gateway/forwarding/ForwardRequest.cpp
@@ -46,7 +46,8 @@
         || (!connectionField.empty() && http::token_list(view(connectionField)).exists(view(name)));
 }
 
-ForwardRequest::ForwardRequest(const WireRequest &request, const HeaderNames &names)
+ForwardRequest::ForwardRequest(const WireRequest &request, const HeaderNames &names,
+                               const std::optional<std::string> &team)
     : m_names(names)
     , m_id(request.field(names.requestId))
     , m_body(request.body)
@@ -57,9 +58,14 @@
     for (const auto &[name, value] : request.fields) {
         const bool isSetPerAttempt = beast::iequals(view(name), names.deadline)
             || beast::iequals(view(name), names.targetServer);
-        if (!isSetPerAttempt && !isHopByHopField(name, connection))
+        const bool identifiesCaller = beast::iequals(view(name), names.authorization)
+            || beast::iequals(view(name), names.team);
+        const bool isDropped = isSetPerAttempt || (team && identifiesCaller);
+        if (!isDropped && !isHopByHopField(name, connection))
             appendField(m_head, name, value);
     }
+    if (team && !team->empty())
+        appendField(m_head, names.team, *team);
     if (request.hasBody)
         appendField(m_head, "Content-Length", std::to_string(m_body.size()));
 }
--- a/src/gateway/forwarding/ForwardRequest.h
+++ b/src/gateway/forwarding/ForwardRequest.h
@@ -4,6 +4,7 @@
 #include "gateway/forwarding/HeaderNames.h"
 #include "http/WireRequest.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,7 +16,11 @@
 class ForwardRequest
 {
 public:
-    ForwardRequest(const WireRequest &request, const HeaderNames &names);
+    /// \brief \a team is the name of the caller's team, or empty for an anonymous caller; the
+    /// fields with which the caller identifies itself are dropped. Without a value they are
+    /// forwarded.
+    ForwardRequest(const WireRequest &request, const HeaderNames &names,
+                   const std::optional<std::string> &team = std::nullopt);
 
     /// \brief Returns the HTTP message of one attempt at \a backendId, with the time left.
     std::string serialize(Milliseconds timeLeft, std::string_view backendId) const;
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -32,7 +32,10 @@
     std::shared_ptr<CallerExchange> exchange;
     std::shared_ptr<const RouteTable> routes; ///< the version in force when the request arrived
     const Route *route = nullptr; ///< points into \c routes
+    const Team *team = nullptr; ///< of the caller; points into \c routes; null: anonymous
+    int rank = 0; ///< of the team, else of the route
     std::shared_ptr<const ForwardRequest> request;
+    double excess = 1; ///< recent rate of the team in relation to its usual rate
     TimePoint deadline; ///< the earlier of the caller's and the route's
     Duration waitedBefore{0}; ///< estimated time that the caller spent on earlier tries
 };
--- a/src/gateway/forwarding/HeaderNames.h
+++ b/src/gateway/forwarding/HeaderNames.h
@@ -17,6 +17,8 @@
     std::string leaving; ///< present, and not "0": the backend server is about to end
     std::string signature; ///< proves that a backend server produced the response
     std::string partSignatures; ///< signatures of the shards in a merged answer
+    std::string team; ///< name of the team of the caller, for backend servers
+    std::string authorization; ///< carries the API key of a caller
     std::string missingParts; ///< number of shards that are not in a merged answer
 };
 
--- a/src/gateway/forwarding/RetryAfter.cpp
+++ b/src/gateway/forwarding/RetryAfter.cpp
@@ -7,7 +7,7 @@
                               TimePoint now)
 {
     const Milliseconds overload
-        = context.admission.retryAfter(*plan.route, plan.deadline - now, now);
+        = context.admission.retryAfter(*plan.route, plan.rank, plan.deadline - now, now);
     const auto holdEnd = context.backends.nextHoldEnd(services, needed, now);
     if (!holdEnd)
         return overload;
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -42,7 +42,7 @@
 {
     auto attempt = std::make_shared<BackendAttempt>();
     attempt->request = m_plan.request;
-    attempt->rank = m_plan.route->rank;
+    attempt->rank = m_plan.rank;
     attempt->isIdempotent = m_plan.route->isIdempotent;
     attempt->deadline = m_plan.deadline;
     attempt->typicalLatency
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -70,7 +70,7 @@
     }
     const Duration typicalLatency
         = m_context.hedges.typicalLatency(m_plan.route->name, m_plan.route->target);
-    if (!m_context.admission.admit(*m_plan.route, typicalLatency, now)) {
+    if (!m_context.admission.admit(*m_plan.route, m_plan.rank, typicalLatency, now)) {
         refuse("overloaded", reachable);
         return;
     }
@@ -201,11 +201,11 @@
     response.fields.emplace_back(m_context.headerNames.partSignatures, std::move(signatures));
     response.fields.emplace_back(m_context.headerNames.missingParts, std::to_string(missing));
     response.body = m_context.merge.merge(parts, query.topRecords);
-    m_context.admission.recordServed(*m_plan.route, Clock::now());
+    m_context.admission.recordServed(*m_plan.route, m_plan.rank, Clock::now());
     const bool wasAtCutoff = m_pendingShards > 0;
     const TimePoint now = Clock::now();
     const RequestEnd end = missing > 0 ? RequestEnd::Partial : RequestEnd::Served;
-    if (m_context.recorder.record(end, m_plan.route->rank, elapsed(), now))
+    if (m_context.recorder.record(end, m_plan.rank, elapsed(), now))
         logInfo("query_answered",
                 logFields(wasAtCutoff ? "target_near" : "all_in", response.status));
     const auto exchange = m_plan.exchange;
@@ -223,17 +223,17 @@
     const TimePoint now = Clock::now();
     const bool hasHalfAnswered = 2 * m_parts.size() >= m_plan.route->query.shards.size();
     if (hasHalfAnswered)
-        m_context.admission.recordHalfAnswered(*m_plan.route, m_startedAt, now);
+        m_context.admission.recordHalfAnswered(*m_plan.route, m_plan.rank, m_startedAt, now);
     else
-        m_context.admission.recordStalled(*m_plan.route, m_startedAt, now);
+        m_context.admission.recordStalled(*m_plan.route, m_plan.rank, m_startedAt, now);
 }
 
 void ShardQueryRun::refuse(const std::string &reason, std::size_t reachable)
 {
     const TimePoint now = Clock::now();
     m_context.recorder.countReason(RequestEnd::Refused, reason);
-    m_context.admission.recordRefusal(*m_plan.route, now);
-    if (m_context.recorder.record(RequestEnd::Refused, m_plan.route->rank, elapsed(), now)) {
+    m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
+    if (m_context.recorder.record(RequestEnd::Refused, m_plan.rank, elapsed(), now)) {
         logInfo("query_refused",
                 {{"id", m_plan.request->id()},
                  {"route", m_plan.route->name},
@@ -271,13 +271,13 @@
     const TimePoint now = Clock::now();
     const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
     m_context.recorder.countReason(end, reason);
-    if (m_context.recorder.record(end, m_plan.route->rank, elapsed(), now))
+    if (m_context.recorder.record(end, m_plan.rank, elapsed(), now))
         logInfo("query_failed", logFields(reason, status));
     const auto exchange = m_plan.exchange;
     finish();
     std::optional<Milliseconds> backoff;
     if (status == 503) {
-        m_context.admission.recordRefusal(*m_plan.route, now);
+        m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
         backoff = retryAfter(now);
     }
     exchange->respond(makeRefusal(status, reason, backoff));
@@ -299,10 +299,10 @@
     if (m_isEnded)
         return;
     const TimePoint now = Clock::now();
-    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.route->rank, elapsed(), now))
+    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, elapsed(), now))
         logInfo("caller_gone", logFields("caller_gone", 0));
     if (!std::exchange(m_isPressureReported, true))
-        m_context.admission.recordAbandoned(*m_plan.route, m_startedAt, now);
+        m_context.admission.recordAbandoned(*m_plan.route, m_plan.rank, m_startedAt, now);
     m_isEnded = true;
     leaveOverdueQueue();
     m_context.timers.cancel(m_hedgeTimer);
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -96,9 +96,9 @@
     m_isEnded = true;
     stopTimers();
     const TimePoint now = Clock::now();
-    m_context.admission.recordServed(*m_plan.route, now);
+    m_context.admission.recordServed(*m_plan.route, m_plan.rank, now);
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
-    if (m_context.recorder.record(RequestEnd::Served, m_plan.route->rank, elapsed, now)) {
+    if (m_context.recorder.record(RequestEnd::Served, m_plan.rank, elapsed, now)) {
         logInfo("request_served",
                 {{"id", m_plan.request->id()},
                  {"route", m_plan.route->name},
@@ -128,7 +128,7 @@
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
     const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
     m_context.recorder.countReason(end, reason);
-    if (m_context.recorder.record(end, m_plan.route->rank, elapsed, now)) {
+    if (m_context.recorder.record(end, m_plan.rank, elapsed, now)) {
         logInfo("request_failed",
                 {{"id", m_plan.request->id()},
                  {"route", m_plan.route->name},
@@ -145,7 +145,7 @@
         m_call->detach();
     std::optional<Milliseconds> retryAfter;
     if (status == 503) {
-        m_context.admission.recordRefusal(*m_plan.route, now);
+        m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
         retryAfter = adviseRetryAfter(m_context, m_plan, {m_service}, 1, now);
     }
     m_plan.exchange->respond(makeRefusal(status, reason, retryAfter));
@@ -157,7 +157,7 @@
         return;
     const TimePoint now = Clock::now();
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
-    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.route->rank, elapsed, now)) {
+    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, elapsed, now)) {
         logInfo("caller_gone",
                 {{"id", m_plan.request->id()},
                  {"route", m_plan.route->name},
--- a/src/gateway/policy/AdmissionTable.cpp
+++ b/src/gateway/policy/AdmissionTable.cpp
@@ -40,11 +40,6 @@
     return route.isShardQuery() ? route.query.shards.front() : route.name;
 }
 
-std::string AdmissionTable::rankKey(const Route &route)
-{
-    return std::to_string(route.rank);
-}
-
 AdmissionTable::ShardSet &AdmissionTable::shardSet(const Route &route)
 {
     ShardSet &set = m_sets[shardSetKey(route)];
@@ -65,38 +60,41 @@
         logInfo("admission_lifted", {{"first_shard", firstShard}});
 }
 
-bool AdmissionTable::admit(const Route &route, Duration typicalLatency, TimePoint now)
+bool AdmissionTable::admit(const Route &route, int rank, Duration typicalLatency, TimePoint now)
 {
     ShardSet &set = shardSet(route);
     Duration &work = m_work.try_emplace(route.name, typicalLatency).first->second;
     // Under pressure the time of a shard request includes queueing, which is no work.
     if (!set.control->isBounded())
         work = typicalLatency;
-    const bool isAdmitted = set.control->admit(route.rank, work, now);
+    const bool isAdmitted = set.control->admit(rank, work, now);
     logLimitChange(shardSetKey(route), set);
     return isAdmitted;
 }
 
-void AdmissionTable::recordHalfAnswered(const Route &route, TimePoint admittedAt, TimePoint now)
+void AdmissionTable::recordHalfAnswered(const Route &route, int rank, TimePoint admittedAt,
+                                        TimePoint now)
 {
-    control(route).record(route.rank, ratio(now - admittedAt, route.target) / halfAnsweredShare,
+    control(route).record(rank, ratio(now - admittedAt, route.target) / halfAnsweredShare,
                           admittedAt, now);
 }
 
-void AdmissionTable::recordAbandoned(const Route &route, TimePoint admittedAt, TimePoint now)
+void AdmissionTable::recordAbandoned(const Route &route, int rank, TimePoint admittedAt,
+                                     TimePoint now)
 {
-    control(route).record(route.rank, std::nullopt, admittedAt, now);
+    control(route).record(rank, std::nullopt, admittedAt, now);
 }
 
-void AdmissionTable::recordStalled(const Route &route, TimePoint admittedAt, TimePoint now)
+void AdmissionTable::recordStalled(const Route &route, int rank, TimePoint admittedAt,
+                                   TimePoint now)
 {
     const double pressure = ratio(now - admittedAt, route.target) / halfAnsweredShare;
-    control(route).record(route.rank, std::max(pressure, minStalledPressure), admittedAt, now);
+    control(route).record(rank, std::max(pressure, minStalledPressure), admittedAt, now);
 }
 
-void AdmissionTable::recordRefusal(const Route &route, TimePoint now)
+void AdmissionTable::recordRefusal(const Route &route, int rank, TimePoint now)
 {
-    m_advice.addRefusal(shardSetKey(route), rankKey(route), now);
+    m_advice.addRefusal(shardSetKey(route), std::to_string(rank), now);
     m_lastRefusal[shardSetKey(route)] = now;
 }
 
@@ -106,16 +104,17 @@
     return refusedAt != m_lastRefusal.end() && now - refusedAt->second < maxRetryAfter;
 }
 
-void AdmissionTable::recordServed(const Route &route, TimePoint now)
+void AdmissionTable::recordServed(const Route &route, int rank, TimePoint now)
 {
-    m_served.add(shardSetKey(route), rankKey(route), now);
+    m_served.add(shardSetKey(route), std::to_string(rank), now);
 }
 
-Milliseconds AdmissionTable::retryAfter(const Route &route, Duration timeLeft, TimePoint now)
+Milliseconds AdmissionTable::retryAfter(const Route &route, int rank, Duration timeLeft,
+                                        TimePoint now)
 {
-    const double servedRate = m_served.rateOf(shardSetKey(route), rankKey(route), now);
+    const double servedRate = m_served.rateOf(shardSetKey(route), std::to_string(rank), now);
     const Duration backoff
-        = m_advice.retryAfter(shardSetKey(route), rankKey(route), servedRate, now);
+        = m_advice.retryAfter(shardSetKey(route), std::to_string(rank), servedRate, now);
     const auto maxBackoff = std::max<Duration>(minRetryAfter, timeLeft / maxTimeLeftDivisor);
     const auto bounded = std::chrono::duration_cast<Milliseconds>(std::min(backoff, maxBackoff));
     std::uniform_int_distribution<std::int64_t> jitter(minRetryAfter.count(),
--- a/src/gateway/policy/AdmissionTable.h
+++ b/src/gateway/policy/AdmissionTable.h
@@ -34,32 +34,32 @@
     /// \brief \a makeControl creates the control of a shard set when it is first used.
     explicit AdmissionTable(Factory makeControl);
 
-    /// \brief Returns true if a query of \a route may start; a request to one of its shards now
-    /// typically takes \a typicalLatency.
-    bool admit(const Route &route, Duration typicalLatency, TimePoint now);
+    /// \brief Returns true if a query of \a route, with \a rank, may start; a request to one of its
+    /// shards now typically takes \a typicalLatency.
+    bool admit(const Route &route, int rank, Duration typicalLatency, TimePoint now);
     /// \brief True while callers that were refused on the shard set of \a route may still retry.
     bool hasRecentRefusals(const Route &route, TimePoint now) const;
     /// \brief Records that half of the shards of a query of \a route have answered by \a now.
-    void recordHalfAnswered(const Route &route, TimePoint admittedAt, TimePoint now);
+    void recordHalfAnswered(const Route &route, int rank, TimePoint admittedAt, TimePoint now);
     /// \brief Records that the caller of a query of \a route left before half of the shards had
     /// answered.
-    void recordAbandoned(const Route &route, TimePoint admittedAt, TimePoint now);
+    void recordAbandoned(const Route &route, int rank, TimePoint admittedAt, TimePoint now);
     /// \brief Records that a query of \a route ended before half of its shards had answered.
-    void recordStalled(const Route &route, TimePoint admittedAt, TimePoint now);
+    void recordStalled(const Route &route, int rank, TimePoint admittedAt, TimePoint now);
 
     /// \brief Queue of the queries on the shard set of \a route that have already missed their
     /// target.
     OverdueQueue &overdueQueue(const Route &route) { return m_overdueQueues[shardSetKey(route)]; }
 
     /// \brief Counts a request of \a route that was refused because of load.
-    void recordRefusal(const Route &route, TimePoint now);
+    void recordRefusal(const Route &route, int rank, TimePoint now);
     /// \brief Counts a request of \a route that was served.
-    void recordServed(const Route &route, TimePoint now);
+    void recordServed(const Route &route, int rank, TimePoint now);
     /// \brief Returns the backoff for a refused caller of \a route that has \a timeLeft.
     ///
     /// It covers the time to serve the recently refused requests, with jitter so that not all
     /// callers return at once.
-    Milliseconds retryAfter(const Route &route, Duration timeLeft, TimePoint now);
+    Milliseconds retryAfter(const Route &route, int rank, Duration timeLeft, TimePoint now);
 
     std::vector<Bound> bounds() const;
     /// \brief Removes the state of shard sets and routes that \a routes does not name.
@@ -76,7 +76,6 @@
     AdmissionControl &control(const Route &route) { return *shardSet(route).control; }
     static void logLimitChange(const std::string &firstShard, ShardSet &set);
     static const std::string &shardSetKey(const Route &route);
-    static std::string rankKey(const Route &route);
 
     const Factory m_makeControl;
     std::map<std::string, ShardSet> m_sets; ///< by first shard
--- a/src/gateway/routing/Route.h
+++ b/src/gateway/routing/Route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Time.h"
+#include "gateway/routing/Team.h"
 
 #include <cstdint>
 #include <string>
@@ -36,6 +37,7 @@
     Milliseconds target{0}; ///< target latency; a later response is worth less
     std::vector<WeightedService> services; ///< of a route to one server
     ShardQuery query;
+    bool allowsAnonymous = false; ///< where there are teams, requests need no key
 
     bool isShardQuery() const { return !query.shards.empty(); }
 };
@@ -64,6 +66,9 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
+    /// Requests carry API keys. False: fields that identify the caller are forwarded unchanged.
+    bool hasTeams = false;
+    std::vector<Team> teams;
     RequestLimits limits;
 };
 
--- a/src/gateway/routing/RouteTable.cpp
+++ b/src/gateway/routing/RouteTable.cpp
@@ -8,6 +8,7 @@
 
 RouteTable::RouteTable(RoutingConfig config)
     : m_config(std::move(config))
+    , m_teams(m_config.teams)
 {
     for (const Route &route : m_config.routes)
         m_routesByHost[lowerCase(route.host)].push_back(&route);
--- a/src/gateway/routing/RouteTable.h
+++ b/src/gateway/routing/RouteTable.h
@@ -2,6 +2,7 @@
 
 #include "common/Random.h"
 #include "gateway/routing/Route.h"
+#include "gateway/routing/TeamDirectory.h"
 
 #include <map>
 #include <memory>
@@ -28,12 +29,14 @@
     std::set<std::string> routeNames() const;
     /// \brief The specification of \a service; null if the configuration does not name it.
     const ServiceSpec *service(const std::string &service) const;
+    const TeamDirectory &teams() const { return m_teams; }
 
 private:
     RoutingConfig m_config;
     /// Longest prefix first.
     std::map<std::string, std::vector<const Route *>, std::less<>> m_routesByHost;
     std::unordered_map<std::string, const ServiceSpec *> m_services;
+    TeamDirectory m_teams;
 };
 
 } // namespace gwt
--- a/src/gateway/sharing/ConfigHistory.cpp
+++ b/src/gateway/sharing/ConfigHistory.cpp
@@ -48,17 +48,20 @@
 {
     const auto routes = digestsOf<wire::RouteMessage>(config.routes);
     const auto services = digestsOf<wire::ServiceMessage>(config.services);
-    m_hasUniqueNames
-        = routes.size() == config.routes.size() && services.size() == config.services.size();
+    const auto teams = digestsOf<wire::TeamMessage>(config.teams);
+    m_hasUniqueNames = routes.size() == config.routes.size()
+        && services.size() == config.services.size() && teams.size() == config.teams.size();
     m_routes.apply(m_routes.differences(routes), config.version);
     m_services.apply(m_services.differences(services), config.version);
+    m_teams.apply(m_teams.differences(teams), config.version);
     m_current = std::move(config);
 }
 
-std::uint64_t ConfigHistory::combineDigests(std::uint64_t routes, std::uint64_t services) const
+std::uint64_t ConfigHistory::combineDigests(std::uint64_t routes, std::uint64_t services,
+                                            std::uint64_t teams)
 {
-    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15; // not symmetric in the two digests
-    return routes * multiplier + services;
+    constexpr std::uint64_t multiplier = 0x9E3779B97F4A7C15; // not symmetric in the digests
+    return (routes * multiplier + services) * multiplier + teams;
 }
 
 void ConfigHistory::encodeFull(wire::RoutingConfigMessage &message) const
@@ -70,13 +73,14 @@
 {
     const auto routes = m_routes.changedAfter(version);
     const auto services = m_services.changedAfter(version);
-    if (!m_hasUniqueNames || !routes || !services) {
+    const auto teams = m_teams.changedAfter(version);
+    if (!m_hasUniqueNames || !routes || !services || !teams) {
         encodeFull(message);
         return;
     }
     message.set_version(m_current.version);
     message.set_base_version(version);
-    message.set_digest(combineDigests(m_routes.digest(), m_services.digest()));
+    message.set_digest(combineDigests(m_routes.digest(), m_services.digest(), m_teams.digest()));
     encode(m_current.limits, message);
     std::set<std::string> removedRoutes = *routes;
     for (const Route &route : m_current.routes) {
@@ -88,6 +92,13 @@
         if (removedServices.erase(service.name) > 0)
             encode(service, *message.add_services());
     }
+    message.set_has_teams(m_current.hasTeams);
+    std::set<std::string> removedTeams = *teams;
+    for (const Team &team : m_current.teams) {
+        if (removedTeams.erase(team.name) > 0)
+            encode(team, *message.add_teams());
+    }
+    message.mutable_removed_teams()->Assign(removedTeams.begin(), removedTeams.end());
     message.mutable_removed_routes()->Assign(removedRoutes.begin(), removedRoutes.end());
     message.mutable_removed_services()->Assign(removedServices.begin(), removedServices.end());
 }
@@ -104,14 +115,18 @@
 {
     const auto routes = decodeChanges(message.routes(), message.removed_routes());
     const auto services = decodeChanges(message.services(), message.removed_services());
-    const std::uint64_t result
-        = combineDigests(m_routes.digestAfter(routes), m_services.digestAfter(services));
+    const auto teams = decodeChanges(message.teams(), message.removed_teams());
+    const std::uint64_t result = combineDigests(
+        m_routes.digestAfter(routes), m_services.digestAfter(services), m_teams.digestAfter(teams));
     if (result != message.digest() || !m_hasUniqueNames)
         return Error{ErrorCode::Malformed, "digest_differs", "configuration"};
     m_routes.apply(routes, message.version());
     m_services.apply(services, message.version());
+    m_teams.apply(teams, message.version());
     applyChanges(m_current.routes, routes, message.routes());
     applyChanges(m_current.services, services, message.services());
+    applyChanges(m_current.teams, teams, message.teams());
+    m_current.hasTeams = message.has_teams();
     m_current.limits = decodeLimits(message);
     m_current.version = message.version();
     return Done{};
--- a/src/gateway/sharing/ConfigHistory.h
+++ b/src/gateway/sharing/ConfigHistory.h
@@ -8,7 +8,8 @@
 
 namespace gwt {
 
-/// \brief Holds the newest configuration and which routes and services changed in which version.
+/// \brief Holds the newest configuration and which routes, services and teams changed in
+/// which version.
 class ConfigHistory
 {
 public:
@@ -25,12 +26,14 @@
 
 private:
     Outcome<Done> applyDelta(const wire::RoutingConfigMessage &message);
-    std::uint64_t combineDigests(std::uint64_t routes, std::uint64_t services) const;
+    static std::uint64_t combineDigests(std::uint64_t routes, std::uint64_t services,
+                                        std::uint64_t teams);
 
     RoutingConfig m_current;
     VersionedSet m_routes;
     VersionedSet m_services;
-    bool m_hasUniqueNames = true; ///< deltas identify routes and services by name
+    VersionedSet m_teams;
+    bool m_hasUniqueNames = true; ///< deltas identify routes, services and teams by name
 };
 
 } // namespace gwt
--- a/src/gateway/sharing/StateCodec.cpp
+++ b/src/gateway/sharing/StateCodec.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace gwt {
 
 void encode(const Route &route, wire::RouteMessage &message)
@@ -23,6 +25,7 @@
         message.add_shards(shard);
     message.set_top_records(route.query.topRecords);
     message.set_min_share(route.query.minShare);
+    message.set_allows_anonymous(route.allowsAnonymous);
 }
 
 Route decode(const wire::RouteMessage &message)
@@ -41,6 +44,7 @@
     route.query.shards.assign(message.shards().begin(), message.shards().end());
     route.query.topRecords = message.top_records();
     route.query.minShare = message.min_share();
+    route.allowsAnonymous = message.allows_anonymous();
     return route;
 }
 
@@ -56,6 +60,34 @@
     return {message.name(), message.health_path(), message.max_connections()};
 }
 
+void encode(const Team &team, wire::TeamMessage &message)
+{
+    message.set_name(team.name);
+    for (const KeyDigest &key : team.keys)
+        message.add_key_digests(key.data(), key.size());
+    if (team.rank)
+        message.set_rank(*team.rank);
+    message.set_rate_per_second(team.quota.ratePerSecond);
+    message.set_burst(team.quota.burst);
+}
+
+Team decode(const wire::TeamMessage &message)
+{
+    Team team;
+    team.name = message.name();
+    for (const std::string &digest : message.key_digests()) {
+        KeyDigest key{};
+        if (digest.size() != key.size())
+            continue;
+        std::copy(digest.begin(), digest.end(), key.begin());
+        team.keys.push_back(key);
+    }
+    if (message.has_rank())
+        team.rank = message.rank();
+    team.quota = {message.rate_per_second(), message.burst()};
+    return team;
+}
+
 void encode(const RequestLimits &limits, wire::RoutingConfigMessage &message)
 {
     message.set_max_header_bytes(limits.maxHeaderBytes);
@@ -81,6 +113,9 @@
         encode(route, *message.add_routes());
     for (const ServiceSpec &service : config.services)
         encode(service, *message.add_services());
+    message.set_has_teams(config.hasTeams);
+    for (const Team &team : config.teams)
+        encode(team, *message.add_teams());
     encode(config.limits, message);
 }
 
@@ -92,6 +127,9 @@
         config.routes.push_back(decode(route));
     for (const auto &service : message.services())
         config.services.push_back(decode(service));
+    config.hasTeams = message.has_teams();
+    for (const auto &team : message.teams())
+        config.teams.push_back(decode(team));
     config.limits = decodeLimits(message);
     return config;
 }
--- a/src/gateway/sharing/StateCodec.h
+++ b/src/gateway/sharing/StateCodec.h
@@ -19,6 +19,8 @@
 RequestLimits decodeLimits(const wire::RoutingConfigMessage &message);
 Route decode(const wire::RouteMessage &message);
 ServiceSpec decode(const wire::ServiceMessage &message);
+void encode(const Team &team, wire::TeamMessage &message);
+Team decode(const wire::TeamMessage &message);
 BackendChange decode(const wire::BackendChangeMessage &message);
 FleetMember decode(const wire::MemberMessage &message);
 
--- a/test/AdaptiveAdmissionTest.cpp
+++ b/test/AdaptiveAdmissionTest.cpp
@@ -213,13 +213,13 @@
     route.query.shards = {"a", "b"};
     TimePoint now = TimePoint() + 1h;
     for (int i = 0; i < 200; ++i, now += 5ms) {
-        table.recordRefusal(route, now);
+        table.recordRefusal(route, route.rank, now);
         if (i % 10 == 0)
-            table.recordServed(route, now);
+            table.recordServed(route, route.rank, now);
     }
     std::set<Milliseconds> backoffs;
     for (int i = 0; i < 50; ++i)
-        backoffs.insert(table.retryAfter(route, GetParam(), now));
+        backoffs.insert(table.retryAfter(route, route.rank, GetParam(), now));
     EXPECT_LE(*backoffs.rbegin(), std::max<Milliseconds>(150ms, GetParam() / 3));
     EXPECT_GE(*backoffs.begin(), 150ms);
     EXPECT_TRUE(GetParam() < 1s || backoffs.size() > 20) << backoffs.size();
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -195,7 +195,8 @@
 
 TEST(ConfigDecoderTest, decodesCompleteConfiguration)
 {
-    const auto decoded = decodeConfig(boost::json::parse(goodConfig));
+    std::vector<std::string> faults;
+    const auto decoded = decodeConfig(boost::json::parse(goodConfig), faults);
     ASSERT_TRUE(isOk(decoded));
     const RoutingConfig &config = valueOf(decoded);
     EXPECT_EQ(config.version, 7U);
@@ -225,7 +226,8 @@
     boost::json::object &limits = spec.at("limits").as_object();
     limits["maxHeaderBytes"] = aboveInt;
     limits["idleTimeoutMs"] = std::numeric_limits<std::int64_t>::max();
-    const auto decoded = decodeConfig(spec);
+    std::vector<std::string> faults;
+    const auto decoded = decodeConfig(spec, faults);
     ASSERT_TRUE(isOk(decoded));
     const RoutingConfig &config = valueOf(decoded);
     EXPECT_EQ(config.routes[0].maxAttempts, maxCount);
@@ -240,7 +242,8 @@
 
 TEST_P(BadConfigTest, isRejectedAsAWhole)
 {
-    EXPECT_FALSE(isOk(decodeConfig(boost::json::parse(GetParam()))));
+    std::vector<std::string> faults;
+    EXPECT_FALSE(isOk(decodeConfig(boost::json::parse(GetParam()), faults)));
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -253,12 +256,62 @@
 
 TEST(ConfigDecoderTest, routeWithoutTypeIsNotIdempotent)
 {
-    const auto decoded = decodeConfig(boost::json::parse(
-        R"({"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","service":"a"}]})"));
+    std::vector<std::string> faults;
+    const auto decoded = decodeConfig(
+        boost::json::parse(
+            R"({"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","service":"a"}]})"),
+        faults);
     ASSERT_TRUE(isOk(decoded));
     EXPECT_FALSE(valueOf(decoded).routes[0].isIdempotent);
 }
 
+struct TeamCase
+{
+    std::string name;
+    std::string entry;
+    std::size_t teams; ///< beside the one before it and the one after it
+    std::size_t faults;
+};
+
+class TeamDecoderTest : public testing::TestWithParam<TeamCase>
+{ };
+
+// One bad entry must not lock out the callers of the others, and no fault may reveal a key.
+TEST_P(TeamDecoderTest, aBadEntryIsReportedAndHidesNoOther)
+{
+    boost::json::value spec = boost::json::parse(goodConfig);
+    spec.as_object()["tenants"] = boost::json::parse(
+        R"([{"name":"first","apiKeys":["k1"],"priority":1,"ratePerS":5,"burst":2},)"
+        + GetParam().entry + R"(,{"name":"last","apiKeys":["k2"]}])");
+    std::vector<std::string> faults;
+    const auto decoded = decodeConfig(spec, faults);
+    ASSERT_TRUE(isOk(decoded));
+    const std::vector<Team> &teams = valueOf(decoded).teams;
+    ASSERT_EQ(teams.size(), GetParam().teams + 2);
+    EXPECT_EQ(teams.front().rank, 1);
+    EXPECT_EQ(teams.front().quota, (TeamQuota{5, 2}));
+    EXPECT_EQ(teams.back().keys, std::vector{digestOfKey("k2")});
+    EXPECT_FALSE(teams.back().quota.isLimited());
+    EXPECT_EQ(faults.size(), GetParam().faults);
+    for (const std::string &fault : faults)
+        EXPECT_EQ(fault.find("k1"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, TeamDecoderTest,
+    testing::Values(
+        TeamCase{"good", R"({"name":"t","apiKeys":["k3"]})", 1, 0},
+        TeamCase{"unknownField", R"({"name":"t","apiKeys":["k3"],"new":1})", 1, 1},
+        TeamCase{"noName", R"({"apiKeys":["k3"]})", 0, 1},
+        TeamCase{"nameTwice", R"({"name":"first","apiKeys":["k3"]})", 0, 1},
+        TeamCase{"notAnObject", "5", 0, 1}, TeamCase{"noKeys", R"({"name":"t"})", 1, 1},
+        TeamCase{"keyIsNumber", R"({"name":"t","apiKeys":[5,"k3"]})", 1, 1},
+        TeamCase{"keyOfAnother", R"({"name":"t","apiKeys":["k1"]})", 1, 1},
+        TeamCase{"negativeRate", R"({"name":"t","apiKeys":["k3"],"ratePerS":-1})", 1, 1},
+        TeamCase{"rateIsText", R"({"name":"t","apiKeys":["k3"],"burst":"2"})", 1, 1},
+        TeamCase{"badPriority", R"({"name":"t","apiKeys":["k3"],"priority":-2})", 1, 1}),
+    [](const auto &info) { return info.param.name; });
+
 const std::string goodSettings = R"(
 nodeName = "front-1"
 zone = "z"
--- a/test/StateDeltaTest.cpp
+++ b/test/StateDeltaTest.cpp
@@ -115,6 +115,28 @@
     EXPECT_EQ(m_follower.observer.lastConfig.version, 9U);
 }
 
+TEST_F(StateDeltaTest, aRemovedKeyIsSentAsADelta)
+{
+    // A process that missed it would go on accepting the key.
+    RoutingConfig config = makeConfig(3, 2);
+    config.hasTeams = true;
+    config.teams = {{"red", {digestOfKey("k1"), digestOfKey("k2")}, 1, {5, 2}},
+                    {"blue", {digestOfKey("k3")}, std::nullopt, {}}};
+    m_watcher.state.setConfig(config);
+    synchronize(m_watcher.state, m_follower.state);
+    config.version = 4;
+    config.teams[0].keys.pop_back();
+    config.teams.pop_back();
+    m_watcher.state.setConfig(config);
+    synchronize(m_watcher.state, m_follower.state);
+    const RoutingConfig &applied = m_follower.observer.lastConfig;
+    EXPECT_TRUE(applied.hasTeams);
+    ASSERT_EQ(applied.teams.size(), 1U);
+    EXPECT_EQ(applied.teams[0].keys, std::vector{digestOfKey("k1")});
+    EXPECT_EQ(applied.teams[0].rank, 1);
+    EXPECT_EQ(applied.teams[0].quota, (TeamQuota{5, 2}));
+}
+
 TEST_F(StateDeltaTest, aNewMemberIsSentAsADelta)
 {
     m_watcher.state.setMembers(makeMembers(300), 5);
--- /dev/null
+++ b/test/TeamKeyTest.cpp
@@ -0,0 +1,207 @@
+#include "GatewayFixture.h"
+
+namespace gwt::test {
+namespace {
+
+struct TokenCase
+{
+    std::string name;
+    std::string authorization;
+    std::string token;
+};
+
+class BearerTokenTest : public testing::TestWithParam<TokenCase>
+{ };
+
+// A key that is cut wrongly locks its callers out.
+TEST_P(BearerTokenTest, returnsTheKeyAlone)
+{
+    EXPECT_EQ(bearerToken(GetParam().authorization), GetParam().token);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields, BearerTokenTest,
+                         testing::Values(TokenCase{"plain", "Bearer k1", "k1"},
+                                         TokenCase{"lowerCase", "bearer k1", "k1"},
+                                         TokenCase{"blanksAround", "Bearer  k1 ", "k1"},
+                                         TokenCase{"otherScheme", "Basic k1", ""},
+                                         TokenCase{"noBlank", "Bearerk1", ""},
+                                         TokenCase{"noKey", "Bearer ", ""},
+                                         TokenCase{"empty", "", ""}),
+                         [](const auto &info) { return info.param.name; });
+
+/// Answers all requests alike.
+class FixedQuota : public QuotaGate
+{
+public:
+    explicit FixedQuota(QuotaOutcome outcome)
+        : m_outcome(outcome)
+    { }
+    void acquire(const Team &, TimePoint, Handler handler) override { handler({m_outcome, 1}); }
+
+private:
+    QuotaOutcome m_outcome;
+};
+
+class TeamKeyTest : public GatewayTest
+{
+protected:
+    TeamKeyTest()
+    {
+        addSingleRoute(true);
+        addServer("s", {okResponse("body")});
+        addServer("a", {okResponse(std::string(16, 'a'))});
+        addServer("b", {okResponse(std::string(16, 'b'))});
+        addQueryRoute({"a", "b"}, 1);
+        m_config.hasTeams = true;
+        m_config.teams = {makeTeam("red", "k1"), makeTeam("blue", "k2")};
+    }
+    static Team makeTeam(const std::string &name, const std::string &key)
+    {
+        return {name, {digestOfKey(key)}, std::nullopt, {}};
+    }
+};
+
+struct AccessCase
+{
+    std::string name;
+    std::string path;
+    bool allowsAnonymous = false;
+    std::string fields;
+    unsigned status = 200;
+    std::string team; ///< that the backend server is told
+};
+
+class TeamAccessTest : public TeamKeyTest, public testing::WithParamInterface<AccessCase>
+{ };
+
+// Backend servers trust the name of the team, and a key that reaches them can be used by others.
+TEST_P(TeamAccessTest, backendServersGetTheTeamAndNeverTheKey)
+{
+    for (Route &route : m_config.routes)
+        route.allowsAnonymous = GetParam().allowsAnonymous;
+    start();
+    const WireResponse response = sendRequest(GetParam().path, GetParam().fields);
+    EXPECT_EQ(response.result_int(), GetParam().status);
+    for (const auto &server : m_servers) {
+        for (const ServerRequest &request : server->requests()) {
+            EXPECT_EQ(request.count("Authorization"), 0U);
+            EXPECT_EQ(request["X-Tenant"], GetParam().team);
+            EXPECT_EQ(request.count("X-Tenant"), GetParam().team.empty() ? 0U : 1U);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, TeamAccessTest,
+    testing::Values(
+        AccessCase{"knownKey", "/one/1", false, "Authorization: Bearer k2\r\n", 200, "blue"},
+        AccessCase{"shardQuery", "/all/1", false, "Authorization: Bearer k1\r\n", 200, "red"},
+        AccessCase{"forgedTeam", "/one/1", false, "Authorization: Bearer k1\r\nx-tenant: blue\r\n",
+                   200, "red"},
+        AccessCase{"unknownKey", "/one/1", false, "Authorization: Bearer k3\r\n", 401, ""},
+        AccessCase{"noKey", "/one/1", false, "", 401, ""},
+        AccessCase{"shardQueryWithoutKey", "/all/1", false, "", 401, ""},
+        AccessCase{"twoKeys", "/one/1", false,
+                   "Authorization: Bearer k1\r\nAuthorization: Bearer k2\r\n", 401, ""},
+        AccessCase{"anonymous", "/one/1", true, "X-Tenant: red\r\n", 200, ""},
+        AccessCase{"anonymousWithUnknownKey", "/all/1", true, "Authorization: Bearer k3\r\n", 200,
+                   ""},
+        AccessCase{"anonymousRouteWithKey", "/one/1", true, "Authorization: Bearer k1\r\n", 200,
+                   "red"}),
+    [](const auto &info) { return info.param.name; });
+
+// Deployments without teams forward their own Authorization fields.
+TEST_F(TeamKeyTest, withoutTeamsTheFieldsAreForwardedUnchanged)
+{
+    m_config.hasTeams = false;
+    m_config.teams.clear();
+    start();
+    sendRequest("/one/1", "Authorization: Bearer k3\r\nX-Tenant: own\r\n");
+    ASSERT_EQ(m_servers[0]->requests().size(), 1U);
+    EXPECT_EQ(m_servers[0]->requests()[0]["Authorization"], "Bearer k3");
+    EXPECT_EQ(m_servers[0]->requests()[0]["X-Tenant"], "own");
+}
+
+// A caller that stays connected must not keep a key that was removed.
+TEST_F(TeamKeyTest, aRemovedKeyIsRejectedByTheNextVersion)
+{
+    start();
+    EXPECT_EQ(sendRequest("/one/1", "Authorization: Bearer k1\r\n").result_int(), 200U);
+    m_config.version = 2;
+    m_config.teams[0].keys = {digestOfKey("k9")};
+    m_core.onConfig(m_config);
+    EXPECT_EQ(sendRequest("/one/1", "Authorization: Bearer k1\r\n").result_int(), 401U);
+    EXPECT_EQ(sendRequest("/one/1", "Authorization: Bearer k9\r\n").result_int(), 200U);
+}
+
+struct ProofCase
+{
+    std::string name;
+    std::optional<Milliseconds> limit;
+    std::string fields;
+    unsigned status;
+};
+
+class KeyProofTest : public TeamKeyTest, public testing::WithParamInterface<ProofCase>
+{ };
+
+// A host without contact to the store cannot know that a key was removed.
+TEST_P(KeyProofTest, keysNeedARecentProofOnlyWhereItIsAskedFor)
+{
+    m_config.routes[0].allowsAnonymous = true;
+    start();
+    m_core.setConfigAge([] { return Duration(6s); });
+    m_core.setKeyProofLimit(GetParam().limit);
+    const WireResponse response = sendRequest("/one/1", GetParam().fields);
+    EXPECT_EQ(response.result_int(), GetParam().status);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Settings, KeyProofTest,
+    testing::Values(ProofCase{"notAskedFor", std::nullopt, "Authorization: Bearer k1\r\n", 200},
+                    ProofCase{"tooOld", 5s, "Authorization: Bearer k1\r\n", 503},
+                    ProofCase{"recentEnough", 7s, "Authorization: Bearer k1\r\n", 200},
+                    ProofCase{"anonymous", 5s, "", 200}),
+    [](const auto &info) { return info.param.name; });
+
+struct QuotaCase
+{
+    std::string name;
+    QuotaOutcome outcome;
+    double rate;
+    unsigned status;
+    std::size_t requests; ///< that reach the backend server
+};
+
+class QuotaAnswerTest : public TeamKeyTest, public testing::WithParamInterface<QuotaCase>
+{ };
+
+// 429 and 503 promise that the request has not run.
+TEST_P(QuotaAnswerTest, onlyAGrantedRequestIsSent)
+{
+    FixedQuota quota(GetParam().outcome);
+    GatewayCore core(m_context, m_timers, m_options, m_headerNames, m_metrics, &quota);
+    CallerServer callers(m_context,
+                         CallerContext{m_timers, core, m_metrics, core.limits(), m_headerNames});
+    m_gatewayEndpoint = valueOf(callers.listen({"127.0.0.1", 0}));
+    m_config.teams[0].quota = {GetParam().rate, 1};
+    start();
+    core.onConfig(m_config);
+    core.onBackends(m_entries);
+    const WireResponse response = sendRequest("/one/1", "Authorization: Bearer k1\r\n");
+    EXPECT_EQ(response.result_int(), GetParam().status);
+    EXPECT_EQ(response.count("Retry-After"), GetParam().status == 200 ? 0U : 1U);
+    EXPECT_EQ(m_servers[0]->requests().size(), GetParam().requests);
+    runUntil(m_context, [&] { return core.openAttempts() == 0; });
+}
+
+INSTANTIATE_TEST_SUITE_P(Outcomes, QuotaAnswerTest,
+                         testing::Values(QuotaCase{"granted", QuotaOutcome::Granted, 5, 200, 1},
+                                         QuotaCase{"overLimit", QuotaOutcome::OverLimit, 5, 429, 0},
+                                         QuotaCase{"unknown", QuotaOutcome::Unknown, 5, 503, 0},
+                                         QuotaCase{"teamWithoutQuota", QuotaOutcome::OverLimit, 0,
+                                                   200, 1}),
+                         [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace gwt::test
