Enforce the quotas of teams over all processes

A host sees a team too seldom for static shares. Change: three coordinators, agreed on by leases in the platform's store, keep one token bucket per team; other hosts ask them before admission. A holder grants only with a recent proof of its lease, and a successor waits that long unless the old process has certainly ended. Without a coordinator each host has standing rights from the tolerance. Inactive while no team has a quota. QuotaFleetTest: 13 tests pass.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -1,5 +1,7 @@
 #include "common/Log.h"
+#include "common/Random.h"
 #include "gateway/Gateway.h"
+#include "platform/LeaseFeed.h"
 #include "platform/PlatformFeed.h"
 #include "platform/PlatformHeaders.h"
 #include "platform/SettingsWatch.h"
@@ -36,6 +38,16 @@
     return options;
 }
 
+/// Limits a connect to another gateway process.
+constexpr std::chrono::milliseconds peerConnectTimeout{300};
+
+/// \brief A text that differs from that of any other process.
+std::string makeIncarnation()
+{
+    gwt::RandomEngine random = gwt::makeSeededEngine();
+    return std::to_string(random()) + "-" + std::to_string(random());
+}
+
 int run(const std::string &path, const PlatformSettings &settings)
 {
     boost::asio::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
@@ -43,14 +55,20 @@
     gwt::Metrics metrics;
     const gwt::HeaderNames names = gwt::platform::platformHeaders();
     const gwt::GatewayOptions options = optionsOf(settings);
-    gwt::GatewayCore core(context, timers, options, names, metrics);
+    const gwt::FleetMember self{settings.hostName, settings.peer, settings.availabilityZone};
+    gwt::platform::LeaseFeed leases(context, timers, metrics, settings.store);
+    gwt::PeerClient peers(context.get_executor(), peerConnectTimeout);
+    const gwt::QuotaOptions quotaOptions{self, makeIncarnation(), settings.quotas, {}};
+    gwt::QuotaService quotaService(context, quotaOptions, leases, peers, metrics);
+    gwt::QuotaClient quotas(context, quotaOptions, quotaService, peers, metrics);
+    gwt::GatewayCore core(context, timers, options, names, metrics, &quotas);
     gwt::GatewayListeners listeners;
     listeners.callers = settings.callers;
     listeners.readiness = settings.readiness;
     listeners.readinessPath = gwt::platform::readinessPath;
     gwt::GatewayProcess process(context, timers, core, options, listeners, metrics);
-    gwt::FleetState state(core);
-    const gwt::FleetMember self{settings.hostName, settings.peer, settings.availabilityZone};
+    gwt::StateObservers observers({&quotaService, &quotas, &core});
+    gwt::FleetState state(observers);
     const gwt::FreshnessLimits limits(settings.updateLimit, settings.drainLimit);
     const gwt::SharingOptions sharingOptions{self, settings.seeds, limits};
     gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state,
@@ -64,21 +82,28 @@
                                            process.setShutdownTimeout(shutdownTimeoutOf(changed));
                                        });
     const gwt::GatewayStatus status(options, core, state, sharing);
-    const auto started = process.start([&watch] { watch.reload(); },
-                                       [&status](const std::string &service, bool isStopping) {
-                                           const gwt::TimePoint now = gwt::Clock::now();
-                                           return service.empty() ? status.summary(isStopping, now)
-                                                                  : status.service(service, now);
-                                       });
+    const auto started = process.start(
+        [&watch] { watch.reload(); }, [&quotaService] { quotaService.stop(); },
+        [&status](const std::string &service, bool isStopping) {
+            const gwt::TimePoint now = gwt::Clock::now();
+            return service.empty() ? status.summary(isStopping, now) : status.service(service, now);
+        });
     if (!gwt::isOk(started)) {
         gwt::logError("start_failed", {{"detail", gwt::errorOf(started).detail}});
         return exitFailure;
     }
+    std::function<gwt::Task<gwt::wire::QuotaReply>(gwt::wire::QuotaRequest, gwt::PeerRequest)>
+        checkQuota = [&quotaService](gwt::wire::QuotaRequest request,
+                                     gwt::PeerRequest) -> gwt::Task<gwt::wire::QuotaReply> {
+        co_return quotaService.handle(request);
+    };
+    sharing.route(gwt::QuotaService::s_path, gwt::peerHandler(std::move(checkQuota)));
     const auto shared = sharing.start();
     if (!gwt::isOk(shared)) {
         gwt::logError("start_failed", {{"detail", gwt::errorOf(shared).detail}});
         return exitFailure;
     }
+    quotaService.start();
     watch.start();
     context.run();
     return 0;
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -5,6 +5,7 @@
 #include "gateway/forwarding/ShardQueryRun.h"
 #include "gateway/forwarding/SingleForward.h"
 #include "gateway/policy/AdaptiveAdmission.h"
+#include "gateway/quota/QuotaRanges.h"
 
 #include <algorithm>
 #include <charconv>
@@ -28,7 +29,7 @@
 constexpr int unsafeFinishMargin = 4;
 /// Longest wait for the quota of a team: well above a call to another host, below any target.
 constexpr Milliseconds maxQuotaWait{30};
-constexpr int quotaWaitDivisor = 4; ///< and the part of the target that it may take
+constexpr int quotaWaitDivisor = 2; ///< and the part of the target that it may take
 /// Retry-After of a request whose quota could not be checked. The caller then reaches another host.
 constexpr Milliseconds unknownQuotaRetryAfter{200};
 /// Retry-After of a request beyond the quota, which refills all the time.
@@ -148,20 +149,21 @@
 }
 
 void GatewayCore::refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
-                         std::optional<Milliseconds> retryAfter)
+                         std::optional<Milliseconds> retryAfter, std::vector<LogField> details)
 {
     constexpr int noRank = -1;
     const TimePoint now = Clock::now();
     m_recorder.countReason(RequestEnd::Refused, reason);
     if (m_recorder.record(RequestEnd::Refused, noRank, now - exchange.arrivedAt(), now)) {
         const WireRequest &request = exchange.request();
-        logInfo("request_refused",
-                {{"id", std::string(request.field(m_headerNames.requestId))},
-                 {"host", std::string(request.field("Host"))},
-                 {"path", request.target},
-                 {"reason", reason},
-                 {"status", status},
-                 {"version", configVersion()}});
+        std::vector<LogField> fields{{"id", std::string(request.field(m_headerNames.requestId))},
+                                     {"host", std::string(request.field("Host"))},
+                                     {"path", request.target},
+                                     {"reason", reason},
+                                     {"status", status},
+                                     {"version", configVersion()}};
+        fields.insert(fields.end(), details.begin(), details.end());
+        logInfo("request_refused", fields);
     }
     exchange.respond(makeRefusal(status, reason, retryAfter));
 }
@@ -240,7 +242,8 @@
         return true;
     plan.rank = plan.team->rank.value_or(plan.rank);
     if (m_keyProofLimit && m_configAge && m_configAge() > *m_keyProofLimit) {
-        refuse(*plan.exchange, 503, "unproven_key", unknownQuotaRetryAfter);
+        refuse(*plan.exchange, 503, "unproven_key", unknownQuotaRetryAfter,
+               {{"team", plan.team->name}});
         return false;
     }
     return true;
@@ -267,15 +270,18 @@
 void GatewayCore::onQuotaDecision(RequestPlan plan, const QuotaDecision &decision)
 {
     plan.excess = decision.excess;
+    const std::vector<LogField> details{{"team", plan.team->name},
+                                        {"range", quotaRangeOf(plan.team->name)},
+                                        {"basis", decision.basis}};
     switch (decision.outcome) {
     case QuotaOutcome::Granted:
         forward(std::move(plan));
         return;
     case QuotaOutcome::OverLimit:
-        refuse(*plan.exchange, 429, "over_quota", overQuotaRetryAfter);
+        refuse(*plan.exchange, 429, "over_quota", overQuotaRetryAfter, details);
         return;
     case QuotaOutcome::Unknown:
-        refuse(*plan.exchange, 503, "quota_unknown", unknownQuotaRetryAfter);
+        refuse(*plan.exchange, 503, "quota_unknown", unknownQuotaRetryAfter, details);
         return;
     }
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/Log.h"
 #include "gateway/GatewayOptions.h"
 #include "gateway/forwarding/ForwardingContext.h"
 #include "gateway/policy/CallerWaitEstimator.h"
@@ -71,7 +72,8 @@
     void onQuotaDecision(RequestPlan plan, const QuotaDecision &decision);
     void forward(RequestPlan plan);
     void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
-                std::optional<Milliseconds> retryAfter = std::nullopt);
+                std::optional<Milliseconds> retryAfter = std::nullopt,
+                std::vector<LogField> details = {});
 
     const GatewayOptions m_options;
     const HeaderNames &m_headerNames;
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -36,9 +36,11 @@
              [&context] { context.stop(); })
 { }
 
-Outcome<Done> GatewayProcess::start(std::function<void()> onReload, StatusProvider status)
+Outcome<Done> GatewayProcess::start(std::function<void()> onReload, std::function<void()> onStop,
+                                    StatusProvider status)
 {
     m_onReload = std::move(onReload);
+    m_onStop = std::move(onStop);
     m_statusProvider = std::move(status);
     const Outcome<Endpoint> admin = m_adminServer.listen(m_listeners.readiness);
     if (!isOk(admin))
@@ -78,10 +80,12 @@
     m_signals.async_wait([this](const boost::system::error_code &failure, int signal) {
         if (failure)
             return;
-        if (signal == SIGHUP)
+        if (signal == SIGHUP) {
             m_onReload();
-        else
+        } else {
+            m_onStop();
             m_stop.begin();
+        }
         waitForSignal();
     });
 }
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -33,8 +33,10 @@
     GatewayProcess(boost::asio::io_context &context, TimerQueue &timers, GatewayCore &core,
                    GatewayOptions options, GatewayListeners listeners, Metrics &metrics);
 
-    /// \brief Opens the listeners; \a onReload runs on SIGHUP. Errors: Unavailable "listen_failed".
-    Outcome<Done> start(std::function<void()> onReload, StatusProvider status);
+    /// \brief Opens the listeners; \a onReload runs on SIGHUP, \a onStop as the
+    /// shutdown begins. Errors: Unavailable "listen_failed".
+    Outcome<Done> start(std::function<void()> onReload, std::function<void()> onStop,
+                        StatusProvider status);
     /// \brief Sets the longest time that a graceful shutdown may take.
     void setShutdownTimeout(Milliseconds timeout) { m_stop.setLimit(timeout); }
 
@@ -66,6 +68,7 @@
     boost::asio::signal_set m_signals;
     GracefulStop m_stop;
     std::function<void()> m_onReload;
+    std::function<void()> m_onStop;
     StatusProvider m_statusProvider;
 };
 
--- /dev/null
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -0,0 +1,146 @@
+#include "gateway/quota/LeaseKeeper.h"
+
+#include <algorithm>
+
+namespace gwt {
+
+namespace {
+
+/// The store's era, in the upper bits of its revisions; rises when it returns from an older copy.
+std::uint64_t storeEraOf(std::uint64_t revision)
+{
+    constexpr unsigned revisionBits = 48;
+    return revision >> revisionBits;
+}
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(LeaseRules rules, Identity self, std::size_t preference)
+    : m_rules(rules)
+    , m_self(std::move(self))
+    , m_preference(preference)
+{ }
+
+void LeaseKeeper::setCandidates(std::vector<std::string> candidates)
+{
+    m_candidates = std::move(candidates);
+}
+
+bool LeaseKeeper::isOwn(const Lease &lease) const
+{
+    return lease.holder == m_self.host && lease.incarnation == m_self.incarnation;
+}
+
+std::optional<std::size_t> LeaseKeeper::turn() const
+{
+    const auto self = std::find(m_candidates.begin(), m_candidates.end(), m_self.host);
+    if (self == m_candidates.end())
+        return std::nullopt;
+    const std::size_t count = m_candidates.size();
+    const auto position = static_cast<std::size_t>(self - m_candidates.begin());
+    return (position + count - m_preference % count) % count;
+}
+
+void LeaseKeeper::onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now)
+{
+    // A listing that is older than this process's own write says nothing about it.
+    if (m_isKnown && revision < m_lease.revision)
+        return;
+    const Lease newest = lease.value_or(Lease{});
+    const bool hasChanged = !m_isKnown || newest.holder != m_lease.holder
+        || newest.incarnation != m_lease.incarnation;
+    m_isKnown = true;
+    m_isFirstEver = !lease && storeEraOf(revision) == 0;
+    m_lease = newest;
+    if (!isOwn(m_lease))
+        m_grantsFrom.reset();
+    if (!hasChanged)
+        return;
+    m_vacantSince = now;
+    m_silentSince.reset();
+    m_hasHolderEnded = false;
+}
+
+void LeaseKeeper::onProbe(const std::string &host, ProbeResult result, TimePoint now)
+{
+    if (host != m_lease.holder) {
+        if (result == ProbeResult::Reached)
+            m_reachedOtherAt = now;
+        return;
+    }
+    switch (result) {
+    case ProbeResult::Reached:
+        m_silentSince.reset();
+        return;
+    case ProbeResult::NoReply:
+        m_silentSince = m_silentSince.value_or(now);
+        return;
+    case ProbeResult::Ended:
+        m_hasHolderEnded = true;
+        return;
+    }
+}
+
+bool LeaseKeeper::isTakeoverDue(TimePoint now) const
+{
+    const auto ownTurn = turn();
+    if (!ownTurn)
+        return false;
+    const auto wait = static_cast<std::int64_t>(*ownTurn) * m_rules.turn;
+    if (isVacant())
+        return now >= m_vacantSince + wait;
+    if (m_lease.holder == m_self.host || m_hasHolderEnded)
+        return true;
+    // A process that is cut off itself must not take the lease from a holder that others reach.
+    const bool reachesOthers
+        = m_candidates.size() < 3 || now - m_reachedOtherAt <= m_rules.silenceLimit;
+    return reachesOthers && m_silentSince && now - *m_silentSince >= m_rules.silenceLimit;
+}
+
+bool LeaseKeeper::needsWait() const
+{
+    if (isVacant())
+        return m_lease.revision == 0 && !m_isFirstEver;
+    const bool isFormerProcess
+        = m_lease.holder == m_self.host && m_lease.incarnation != m_self.incarnation;
+    return !m_hasHolderEnded && !isFormerProcess;
+}
+
+std::optional<Lease> LeaseKeeper::beginWrite(TimePoint now)
+{
+    if (!m_isKnown || m_isWriting || m_isReleased || m_grantsFrom || !isTakeoverDue(now))
+        return std::nullopt;
+    m_isWriting = true;
+    m_needsWait = needsWait();
+    return Lease{m_self.host, m_self.incarnation, m_lease.term + 1, m_lease.revision};
+}
+
+void LeaseKeeper::onWritten(const std::optional<Lease> &lease, TimePoint now)
+{
+    m_isWriting = false;
+    if (!lease || m_isReleased)
+        return;
+    m_lease = *lease;
+    m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
+}
+
+std::optional<Lease> LeaseKeeper::release()
+{
+    m_isReleased = true;
+    m_grantsFrom.reset();
+    if (!isOwn(m_lease))
+        return std::nullopt;
+    return Lease{"", "", m_lease.term + 1, m_lease.revision};
+}
+
+std::string LeaseKeeper::hostToProbe() const
+{
+    return turn() && !isOwn(m_lease) ? m_lease.holder : std::string();
+}
+
+bool LeaseKeeper::mayGrant(TimePoint provenAt, TimePoint now) const
+{
+    return m_grantsFrom && now >= *m_grantsFrom && now - provenAt <= m_rules.proofLimit;
+}
+
+} // namespace gwt
--- /dev/null
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "gateway/quota/LeaseStore.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gwt {
+
+/// \brief Result of a call to the holder of a lease.
+enum class ProbeResult {
+    Reached,
+    NoReply,
+    Ended ///< its process certainly no longer runs
+};
+
+/// \brief Timing of leases.
+struct LeaseRules
+{
+    /// A holder without a proof of its lease that is more recent than this grants nothing, and a
+    /// new holder waits so long: then at most one of them grants at any time. Covers most outages
+    /// of the store. Only a holder that is lost without a trace makes its successor wait.
+    Duration proofLimit = std::chrono::seconds(10);
+    Duration silenceLimit = std::chrono::seconds(1); ///< without a reply until a challenge
+    Duration turn = std::chrono::seconds(2); ///< between two candidates for a vacant lease
+};
+
+/// \brief Decides when this process takes a lease and when it may act as its holder.
+///
+/// Handles the loss of a coordinator, and one that is paused or cut off while another takes its
+/// place. Does no I/O.
+class LeaseKeeper
+{
+public:
+    struct Identity
+    {
+        std::string host;
+        std::string incarnation;
+    };
+
+    /// \brief \a preference is the index of the candidate that takes the lease first.
+    LeaseKeeper(LeaseRules rules, Identity self, std::size_t preference);
+
+    /// \brief Sets the hosts that may take the lease, in order.
+    void setCandidates(std::vector<std::string> candidates);
+    /// \brief The store holds \a lease, or none, as of \a revision.
+    void onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now);
+    /// \brief Records a call to \a host.
+    void onProbe(const std::string &host, ProbeResult result, TimePoint now);
+    /// \brief The lease to write now; nullopt if none. The write is in progress until onWritten().
+    std::optional<Lease> beginWrite(TimePoint now);
+    /// \brief The write ended; \a lease is set if it took effect.
+    void onWritten(const std::optional<Lease> &lease, TimePoint now);
+    /// \brief Stops granting for good; returns the lease to write, if this process holds it.
+    std::optional<Lease> release();
+
+    /// \brief The host to call in order to learn whether the holder lives; empty: none.
+    std::string hostToProbe() const;
+    /// \brief Name of the host that holds the lease; empty if unknown.
+    const std::string &holder() const { return m_lease.holder; }
+    /// \brief When this process may begin to grant under its present lease; nullopt if it holds
+    /// none.
+    std::optional<TimePoint> grantsFrom() const { return m_grantsFrom; }
+    /// \brief True if this process may act as the holder; \a provenAt is that of the LeaseStore.
+    bool mayGrant(TimePoint provenAt, TimePoint now) const;
+    std::uint64_t term() const { return m_lease.term; }
+
+private:
+    bool isOwn(const Lease &lease) const;
+    /// \brief Number of candidates that take a vacant lease before this process; nullopt if it is
+    /// no candidate.
+    std::optional<std::size_t> turn() const;
+    bool isVacant() const { return m_lease.holder.empty(); }
+    bool needsWait() const;
+    bool isTakeoverDue(TimePoint now) const;
+
+    const LeaseRules m_rules;
+    const Identity m_self;
+    const std::size_t m_preference;
+    std::vector<std::string> m_candidates;
+    bool m_isKnown = false; ///< the store has been read
+    bool m_isFirstEver = false; ///< the store has never had this lease
+    Lease m_lease; ///< newest known; empty if there is none
+    TimePoint m_vacantSince;
+    std::optional<TimePoint> m_silentSince; ///< first call to the holder without a reply
+    bool m_hasHolderEnded = false;
+    TimePoint m_reachedOtherAt; ///< last reply of a host that is not the holder
+    bool m_isWriting = false;
+    bool m_needsWait = true; ///< of the write in progress
+    std::optional<TimePoint> m_grantsFrom;
+    bool m_isReleased = false;
+};
+
+} // namespace gwt
--- a/src/gateway/quota/QuotaGate.h
+++ b/src/gateway/quota/QuotaGate.h
@@ -20,6 +20,7 @@
     QuotaOutcome outcome = QuotaOutcome::Granted;
     /// Recent rate of the team in relation to its usual rate, over all processes; 1 if unknown.
     double excess = 1;
+    const char *basis = "coordinator"; ///< what the decision rests on, for the log
 };
 
 /// \brief Checks requests against the quotas of teams, which hold over all processes together.
--- a/src/gateway/sharing/DisseminationTree.cpp
+++ b/src/gateway/sharing/DisseminationTree.cpp
@@ -76,6 +76,14 @@
     return !members.empty() && members.front()->name == m_self;
 }
 
+std::vector<FleetMember> DisseminationTree::watchers(TimePoint now) const
+{
+    std::vector<FleetMember> watchers;
+    for (const FleetMember *member : chooseWatchers(activeMembers(now)))
+        watchers.push_back(*member);
+    return watchers;
+}
+
 DisseminationTree::Upstream DisseminationTree::upstream(TimePoint now) const
 {
     const Members members = activeMembers(now);
--- a/src/gateway/sharing/DisseminationTree.h
+++ b/src/gateway/sharing/DisseminationTree.h
@@ -41,6 +41,8 @@
     void setMembers(const std::vector<FleetMember> &members);
     /// \brief True if this process follows the registry itself.
     bool isWatcher(TimePoint now) const;
+    /// \brief The members that follow the registry, in order.
+    std::vector<FleetMember> watchers(TimePoint now) const;
     /// \brief True for the first member in the order, which does what is done once per fleet.
     bool isCoordinator(TimePoint now) const;
     /// \brief The members that this process polls in turn; empty for a watcher.
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -34,6 +34,11 @@
     StateSharing(boost::asio::io_context &context, SharingOptions options, FleetState &state,
                  RegistryFeed &feed, Metrics &metrics);
 
+    /// \brief Registers a handler for calls of other processes; before start() only.
+    void route(const std::string &path, PeerHandler handler)
+    {
+        m_server.route(path, std::move(handler));
+    }
     /// \brief Errors: Unavailable "listen_failed".
     Outcome<Endpoint> start();
     /// \brief Time since this state was last proved to hold all updates of the registry; the time
--- /dev/null
+++ b/test/QuotaFleetTest.cpp
@@ -0,0 +1,342 @@
+#include "gateway/quota/LeaseKeeper.h"
+#include "gateway/quota/QuotaLedger.h"
+#include "gateway/quota/QuotaRanges.h"
+#include "gateway/quota/StandingRights.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start{1h};
+const QuotaRules rules{5s, 0.1, 20};
+
+Team makeTeam(const std::string &name, double rate)
+{
+    return {name, {}, std::nullopt, {rate, rate}};
+}
+
+/// Requests that may run in each window.
+double boundOf(const TeamQuota &quota)
+{
+    return quota.ratePerSecond * 5 + quota.burst + rules.toleranceOf(quota);
+}
+
+/// The leases of a store, with conditional updates.
+class SharedLease
+{
+public:
+    std::optional<Lease> lease() const { return m_lease; }
+    std::uint64_t revision() const { return m_revision; }
+    std::optional<Lease> write(Lease lease)
+    {
+        if (lease.revision != (m_lease ? m_lease->revision : 0))
+            return std::nullopt;
+        lease.revision = ++m_revision;
+        m_lease = lease;
+        return m_lease;
+    }
+
+private:
+    std::optional<Lease> m_lease;
+    std::uint64_t m_revision = 1;
+};
+
+/// A host of a fleet in virtual time. All teams are in one range.
+struct SimulatedHost
+{
+    SimulatedHost(std::string hostName, int processNumber)
+        : name(std::move(hostName))
+        , incarnation(name + "-" + std::to_string(processNumber))
+        , keeper(LeaseRules{}, {name, incarnation}, 0)
+        , rights(rules, name)
+    { }
+
+    std::string name;
+    std::string incarnation;
+    LeaseKeeper keeper;
+    std::optional<QuotaLedger> ledger;
+    StandingRights rights;
+    TimePoint provenAt;
+    TimePoint probedAt;
+    bool isReachable = true; ///< by other hosts
+    bool reachesStore = true;
+    TimePoint pausedUntil;
+    TimePoint downUntil;
+
+    bool runs(TimePoint now) const { return now >= pausedUntil && now >= downUntil; }
+};
+
+/// What disturbs the fleet in one run.
+struct FleetCase
+{
+    std::string name;
+    bool cutsHosts = false;
+    bool cutsStore = false;
+    bool kills = false;
+    bool pauses = false;
+    double hotFactor = 7.5;
+    double minServed = 0; ///< share of the requests of the other teams that is granted
+};
+
+class QuotaFleetTest : public testing::TestWithParam<FleetCase>
+{
+protected:
+    static constexpr int s_hosts = 73;
+    static constexpr int s_teams = 79;
+    static constexpr std::size_t s_candidates = 3;
+    static constexpr Milliseconds s_step{10};
+
+    QuotaFleetTest()
+    {
+        for (int i = 0; i < s_hosts; ++i) {
+            m_members.push_back({"host-" + std::to_string(i), {}, "z"});
+            m_hosts.push_back(std::make_unique<SimulatedHost>(m_members.back().name, 0));
+        }
+        for (const auto &host : m_hosts)
+            prepare(*host);
+        m_teams.push_back(makeTeam("hot", 24));
+        for (int i = 1; i < s_teams; ++i)
+            m_teams.push_back(makeTeam("team-" + std::to_string(i), 5));
+        m_ran.resize(m_teams.size());
+    }
+
+    void prepare(SimulatedHost &host)
+    {
+        host.rights.setMembers(m_members);
+        std::vector<std::string> candidates;
+        for (std::size_t i = 0; i < s_candidates; ++i)
+            candidates.push_back(m_members[i].name);
+        host.keeper.setCandidates(candidates);
+    }
+
+    bool canCall(const SimulatedHost &from, const SimulatedHost &to) const
+    {
+        return &from == &to || (from.isReachable && to.isReachable && to.runs(m_now));
+    }
+
+    SimulatedHost &hostOf(const std::string &name)
+    {
+        for (const auto &host : m_hosts) {
+            if (host->name == name)
+                return *host;
+        }
+        return *m_hosts.front();
+    }
+
+    void runCandidate(SimulatedHost &host)
+    {
+        if (!host.runs(m_now))
+            return;
+        if (host.reachesStore) {
+            host.provenAt = m_now;
+            host.keeper.onLease(m_lease.lease(), m_lease.revision(), m_now);
+        }
+        if (!host.keeper.grantsFrom())
+            host.ledger.reset();
+        if (m_now - host.probedAt >= 400ms) {
+            host.probedAt = m_now;
+            for (std::size_t i = 0; i < s_candidates; ++i)
+                probe(host, *m_hosts[i]);
+        }
+        const auto update = host.keeper.beginWrite(m_now);
+        if (!update)
+            return;
+        host.keeper.onWritten(host.reachesStore ? m_lease.write(*update) : std::nullopt, m_now);
+        if (const auto from = host.keeper.grantsFrom())
+            host.ledger.emplace(rules, *from);
+    }
+
+    void probe(SimulatedHost &from, SimulatedHost &to)
+    {
+        if (&from == &to)
+            return;
+        ProbeResult result = canCall(from, to) ? ProbeResult::Reached : ProbeResult::NoReply;
+        const auto lease = m_lease.lease();
+        const bool isReplaced
+            = lease && lease->holder == to.name && lease->incarnation != to.incarnation;
+        const bool isRefused = from.isReachable && to.isReachable && m_now < to.downUntil;
+        if ((result == ProbeResult::Reached && isReplaced) || isRefused)
+            result = ProbeResult::Ended;
+        from.keeper.onProbe(to.name, result, m_now);
+    }
+
+    /// Sends a request of a team to a host; true if it runs.
+    bool request(std::size_t team, SimulatedHost &host)
+    {
+        if (!host.runs(m_now))
+            return false;
+        const Team &sender = m_teams[team];
+        for (std::size_t i = 0; i < s_candidates; ++i) {
+            SimulatedHost &coordinator = *m_hosts[i];
+            if (!coordinator.ledger || !canCall(host, coordinator)
+                || !coordinator.keeper.mayGrant(coordinator.provenAt, m_now))
+                continue;
+            const auto decision = coordinator.ledger->take(sender.name, sender.quota, 1, m_now);
+            if (decision.outcome == QuotaOutcome::Unknown)
+                continue;
+            if (decision.outcome == QuotaOutcome::Granted)
+                recordRun(team);
+            return decision.outcome == QuotaOutcome::Granted;
+        }
+        if (!host.rights.tryUse(sender, m_now))
+            return false;
+        recordRun(team);
+        return true;
+    }
+
+    void recordRun(std::size_t team)
+    {
+        std::deque<TimePoint> &ran = m_ran[team];
+        ran.push_back(m_now);
+        while (m_now - ran.front() > rules.window)
+            ran.pop_front();
+        EXPECT_LE(static_cast<double>(ran.size()), boundOf(m_teams[team].quota))
+            << m_teams[team].name << " at " << (m_now - start) / 1ms << " ms";
+    }
+
+    void disturb()
+    {
+        const FleetCase &fleet = GetParam();
+        // Coordinators and their candidates are hit more often than the other hosts.
+        std::uniform_int_distribution<std::size_t> any(0, 2 * s_candidates);
+        std::uniform_int_distribution<int> time(500, 12'000);
+        for (std::size_t i = 0; i < s_candidates; ++i) {
+            SimulatedHost &host = *m_hosts[i];
+            host.isReachable = true;
+            host.reachesStore = true;
+        }
+        const std::size_t hit = any(m_random);
+        if (hit >= s_candidates)
+            return;
+        SimulatedHost &host = *m_hosts[hit];
+        if (fleet.cutsHosts)
+            host.isReachable = false;
+        if (fleet.cutsStore)
+            host.reachesStore = false;
+        if (fleet.pauses)
+            host.pausedUntil = m_now + Milliseconds(time(m_random));
+        if (fleet.kills) {
+            m_hosts[hit] = std::make_unique<SimulatedHost>(host.name, ++m_processes);
+            prepare(*m_hosts[hit]);
+            m_hosts[hit]->downUntil = m_now + Milliseconds(time(m_random));
+        }
+    }
+
+    TimePoint m_now = start;
+    std::vector<FleetMember> m_members;
+    std::vector<std::unique_ptr<SimulatedHost>> m_hosts;
+    std::vector<Team> m_teams;
+    std::vector<std::deque<TimePoint>> m_ran; ///< of each team, within the last window
+    SharedLease m_lease;
+    std::mt19937 m_random{7};
+    int m_processes = 0;
+};
+
+// A team must not get more than its quota by spreading its requests over many hosts, however hosts
+// fail, and a team within its quota must not be refused because another exceeds its own.
+TEST_P(QuotaFleetTest, noTeamExceedsItsQuotaAndTheOthersAreServed)
+{
+    std::uniform_int_distribution<std::size_t> anyHost(0, s_hosts - 1);
+    std::uniform_int_distribution<std::size_t> anyTeam(1, s_teams - 1);
+    std::uniform_real_distribution<double> chance(0, 1);
+    const double hotPerStep = 15 * GetParam().hotFactor * 0.01;
+    int offered = 0;
+    int granted = 0;
+    for (int step = 0; step < 12'000; ++step, m_now += s_step) {
+        if (step % 700 == 699)
+            disturb();
+        for (std::size_t i = 0; i < s_candidates; ++i)
+            runCandidate(*m_hosts[i]);
+        for (double due = hotPerStep; due > 0 && chance(m_random) < due; due -= 1)
+            request(0, *m_hosts[anyHost(m_random)]);
+        if (step < 600 || chance(m_random) > 0.2)
+            continue;
+        ++offered;
+        granted += request(anyTeam(m_random), *m_hosts[anyHost(m_random)]) ? 1 : 0;
+    }
+    EXPECT_GE(granted, GetParam().minServed * offered);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Disturbances, QuotaFleetTest,
+    testing::Values(FleetCase{"calm", false, false, false, false, 1, 1},
+                    FleetCase{"oneHotTeam", false, false, false, false, 7.5, 1},
+                    FleetCase{"hostsCutOff", true, false, false, false, 7.5, 0},
+                    FleetCase{"storeCutOff", false, true, false, false, 7.5, 0.99},
+                    FleetCase{"killed", false, false, true, false, 7.5, 0},
+                    FleetCase{"paused", false, false, false, true, 7.5, 0},
+                    FleetCase{"cutOffFromAll", true, true, false, false, 7.5, 0},
+                    FleetCase{"everything", true, true, true, true, 7.5, 0}),
+    [](const auto &info) { return info.param.name; });
+
+struct LimitCase
+{
+    std::string name;
+    std::uint64_t version; ///< of the second limit
+    double rate;
+    int granted; ///< of 30 requests at once, after the second limit
+};
+
+class LimitChangeTest : public testing::TestWithParam<LimitCase>
+{ };
+
+// A lowered limit binds at once, and a host with an older configuration must not raise it again.
+TEST_P(LimitChangeTest, theQuotaOfTheNewestVersionHolds)
+{
+    const QuotaRules exact{5s, 0, 0};
+    QuotaLedger ledger(exact, start);
+    const TimePoint now = start + 1min;
+    ledger.take("t", {20, 20}, 5, now);
+    int granted = 0;
+    for (int i = 0; i < 30; ++i) {
+        const auto decision
+            = ledger.take("t", {GetParam().rate, GetParam().rate}, GetParam().version, now);
+        granted += decision.outcome == QuotaOutcome::Granted ? 1 : 0;
+    }
+    EXPECT_EQ(granted, GetParam().granted);
+}
+
+INSTANTIATE_TEST_SUITE_P(Limits, LimitChangeTest,
+                         testing::Values(LimitCase{"lowered", 6, 2, 2},
+                                         LimitCase{"olderVersion", 4, 2, 19},
+                                         LimitCase{"raised", 6, 40, 19}),
+                         [](const auto &info) { return info.param.name; });
+
+// Fair sharing relies on the excess of a team that sends many times its usual rate.
+TEST(QuotaLedgerTest, reportsTheExcessOfATeamOverItsUsualRate)
+{
+    QuotaLedger ledger(rules, start);
+    TimePoint now = start;
+    for (int i = 0; i < 600; ++i, now += 100ms)
+        EXPECT_LT(ledger.take("t", {24, 24}, 1, now).excess, 1.5);
+    double excess = 0;
+    for (int i = 0; i < 400; ++i, now += 12ms)
+        excess = ledger.take("t", {24, 24}, 1, now).excess;
+    EXPECT_GT(excess, 3);
+}
+
+// Without this, each host would admit requests of a small team while its coordinator is lost.
+TEST(StandingRightsTest, theFleetSharesAPartOfTheTolerance)
+{
+    std::vector<FleetMember> members;
+    for (int i = 0; i < 73; ++i)
+        members.push_back({"host-" + std::to_string(i), {}, "z"});
+    const Team team = makeTeam("t", 5);
+    std::size_t total = 0;
+    for (const FleetMember &member : members) {
+        StandingRights rights(rules, member.name);
+        rights.setMembers(members);
+        total += rights.rightsFor(team);
+    }
+    EXPECT_EQ(total, static_cast<std::size_t>(0.4 * rules.toleranceOf(team.quota)));
+}
+
+} // namespace
+} // namespace gwt
