Return to token buckets for quotas

Cause: a sliding window lets a successor grant almost nothing for a window, since its predecessor may have used the whole window just before its end. Buckets refill from the takeover on, so they need no such wait.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -112,7 +112,6 @@
         return std::nullopt;
     m_isWriting = true;
     m_needsWait = needsWait();
-    m_hadPredecessor = !isVacant() || m_lease.revision > 0 || !m_isFirstEver;
     return Lease{m_self.host, m_self.incarnation, m_lease.term + 1, m_lease.revision};
 }
 
@@ -123,7 +122,6 @@
         return;
     m_lease = *lease;
     m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
-    m_predecessorEnd = m_hadPredecessor ? *m_grantsFrom : TimePoint();
 }
 
 std::optional<Lease> LeaseKeeper::release()
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -62,8 +62,6 @@
     /// \brief When this process may begin to grant under its present lease; nullopt if it holds
     /// none.
     std::optional<TimePoint> grantsFrom() const { return m_grantsFrom; }
-    /// \brief Time until which another process may have granted under an earlier term.
-    TimePoint predecessorEnd() const { return m_predecessorEnd; }
     /// \brief True if this process may act as the holder; \a provenAt is that of the LeaseStore.
     bool mayGrant(TimePoint provenAt, TimePoint now) const;
     std::uint64_t term() const { return m_lease.term; }
@@ -90,9 +88,7 @@
     TimePoint m_reachedOtherAt; ///< last reply of a host that is not the holder
     bool m_isWriting = false;
     bool m_needsWait = true; ///< of the write in progress
-    bool m_hadPredecessor = true; ///< of the write in progress
     std::optional<TimePoint> m_grantsFrom;
-    TimePoint m_predecessorEnd;
     bool m_isReleased = false;
 };
 
--- a/src/gateway/quota/QuotaLedger.cpp
+++ b/src/gateway/quota/QuotaLedger.cpp
@@ -10,7 +10,7 @@
 /// Far above the number of teams; beyond it, those without a recent request are dropped.
 constexpr std::size_t maxAccounts = 10'000;
 constexpr std::chrono::seconds usualRateSpan{60};
-/// Requests per second. Below it a single request would already be many times the usual rate.
+/// Below this rate a single request would already be many times the usual.
 constexpr double minUsualRate = 1;
 
 double secondsOf(Duration time)
@@ -20,20 +20,24 @@
 
 } // namespace
 
-QuotaLedger::QuotaLedger(QuotaRules rules, TimePoint predecessorEnd)
+QuotaLedger::QuotaLedger(QuotaRules rules, TimePoint start)
     : m_rules(rules)
-    , m_predecessorEnd(predecessorEnd)
+    , m_start(start)
 { }
 
-double QuotaLedger::limitOf(const TeamQuota &quota, TimePoint now) const
+double QuotaLedger::capacityOf(const TeamQuota &quota) const
 {
-    const double tolerance = m_rules.toleranceOf(quota);
-    if (now < m_predecessorEnd + m_rules.window)
-        return successorToleranceShare * tolerance;
-    return m_rules.requestsOf(quota) + ledgerToleranceShare * tolerance;
+    return std::max(1.0, quota.burst + ledgerToleranceShare * m_rules.toleranceOf(quota));
 }
 
-double QuotaLedger::countRequest(Account &account, TimePoint now) const
+void QuotaLedger::fill(Account &account, TimePoint now) const
+{
+    const double gained = account.quota.ratePerSecond * secondsOf(now - account.filledAt);
+    account.level = std::min(account.level + std::max(0.0, gained), capacityOf(account.quota));
+    account.filledAt = std::max(account.filledAt, now);
+}
+
+double QuotaLedger::count(Account &account, TimePoint now) const
 {
     const double elapsed = std::max(0.0, secondsOf(now - account.countedAt));
     const double window = secondsOf(m_rules.window);
@@ -49,20 +53,26 @@
 QuotaDecision QuotaLedger::take(const std::string &team, const TeamQuota &quota,
                                 std::uint64_t configVersion, TimePoint now)
 {
-    Account &account = m_accounts.try_emplace(team, m_rules.window, now).first->second;
-    if (configVersion >= account.configVersion) {
+    const auto [position, isNew] = m_accounts.try_emplace(team);
+    Account &account = position->second;
+    if (isNew) {
+        account.filledAt = m_start;
+        account.firstAt = now;
+        account.countedAt = now;
+    }
+    if (isNew || configVersion >= account.configVersion) {
         account.quota = quota;
         account.configVersion = configVersion;
     }
+    fill(account, now);
     QuotaDecision decision;
-    decision.excess = countRequest(account, now);
-    const auto granted = static_cast<double>(account.granted.count(now));
-    if (granted + 1 <= limitOf(account.quota, now))
-        account.granted.add(now);
-    else if (now < m_predecessorEnd + m_rules.window)
-        decision.outcome = QuotaOutcome::Unknown;
-    else
-        decision.outcome = QuotaOutcome::OverLimit;
+    decision.excess = count(account, now);
+    if (account.level >= 1) {
+        account.level -= 1;
+    } else {
+        const bool hadTime = now >= m_start + m_rules.window;
+        decision.outcome = hadTime ? QuotaOutcome::OverLimit : QuotaOutcome::Unknown;
+    }
     if (m_accounts.size() > maxAccounts)
         dropIdle(now);
     return decision;
@@ -70,9 +80,12 @@
 
 void QuotaLedger::dropIdle(TimePoint now)
 {
-    std::erase_if(m_accounts, [&](const auto &each) {
-        return now - each.second.countedAt > 2 * m_rules.window;
-    });
+    // A new account counts as filled since the start, so only full ones may be dropped.
+    for (auto account = m_accounts.begin(); account != m_accounts.end();) {
+        fill(account->second, now);
+        const bool isFull = account->second.level >= capacityOf(account->second.quota);
+        account = isFull ? m_accounts.erase(account) : std::next(account);
+    }
 }
 
 } // namespace gwt
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -164,8 +164,8 @@
         }
         m_leases[quotaLeaseName(range)] = valueOf(outcome);
         m_ranges[range].ledger.reset();
-        if (keeper.grantsFrom())
-            m_ranges[range].ledger.emplace(m_options.rules, keeper.predecessorEnd());
+        if (const auto from = keeper.grantsFrom())
+            m_ranges[range].ledger.emplace(m_options.rules, *from);
         logHolder(range);
     });
 }
