Give coordinators 0.6 of the tolerance of a quota

Cause: the bucket of a coordinator had half of the tolerance, although the rule measures a window and callers lose what is refused below it. Change: 0.6 for the buckets and 0.3 for standing rights; the rest covers differing views of the members.

--- a/src/gateway/quota/QuotaRules.h
+++ b/src/gateway/quota/QuotaRules.h
@@ -23,7 +23,7 @@
 
 /// Parts of the tolerance. What is left covers requests that were granted just before the window
 /// and processes that do not see the same members for a moment.
-inline constexpr double ledgerToleranceShare = 0.5; ///< for the buckets of a coordinator
-inline constexpr double standingToleranceShare = 0.4; ///< for requests without a coordinator
+inline constexpr double ledgerToleranceShare = 0.6; ///< for the buckets of a coordinator
+inline constexpr double standingToleranceShare = 0.3; ///< for requests without a coordinator
 
 } // namespace gwt
