Ignore the late reply to a lease write if a newer lease is known

Cause: a holder whose write took effect, but whose reply came after the watch had reported a successor, replaced the newer lease by its own and granted from then on. The watch reports only further changes, so two processes granted until the next one. Change: onWritten() compares the revisions. Result: LeaseKeeperTest fails before and passes with it.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -120,6 +120,9 @@
     m_isWriting = false;
     if (!lease || m_isReleased)
         return;
+    // The watch may have reported a successor before this reply arrived.
+    if (lease->revision < m_lease.revision)
+        return;
     m_lease = *lease;
     m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
 }
--- /dev/null
+++ b/test/LeaseKeeperTest.cpp
@@ -0,0 +1,45 @@
+#include "gateway/quota/LeaseKeeper.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start{1h};
+
+/// Process "a-1" of host "a", one of three candidates.
+class LeaseKeeperTest : public testing::Test
+{
+protected:
+    LeaseKeeperTest() { m_keeper.setCandidates({"a", "b", "c"}); }
+
+    void learn(const std::string &holder, std::uint64_t revision, TimePoint now)
+    {
+        const Lease lease{holder, holder + "-1", revision, revision};
+        m_keeper.onLease(lease, revision, now);
+    }
+
+    const LeaseRules m_rules;
+    LeaseKeeper m_keeper{m_rules, {"a", "a-1"}, 0};
+};
+
+// Two processes would grant if a process took its lease to be in force after it had learned of a
+// newer one, because a watch reports only further changes.
+TEST_F(LeaseKeeperTest, aLateReplyToAWriteDoesNotReplaceANewerLease)
+{
+    m_keeper.onLease(std::nullopt, 1, start);
+    const auto written = m_keeper.beginWrite(start);
+    ASSERT_TRUE(written);
+    learn("a", 2, start + 1s);
+    learn("b", 3, start + 2s);
+    Lease own = *written;
+    own.revision = 2;
+    m_keeper.onWritten(own, start + 2100ms);
+    EXPECT_FALSE(m_keeper.mayGrant(start + 3s, start + 3s));
+    EXPECT_EQ(m_keeper.holder(), "b");
+}
+
+} // namespace
+} // namespace gwt
