Ignore calls to a holder from before it took the lease

Cause: a refused connection, or the reply of a former process, that a candidate handled after it had learned of the host's new holder counted as proof that the new holder had ended. The candidate then took the lease without the wait and granted beside it. A candidate that is paused in between sees both at once. Change: onProbe() gets the time of the call and ignores one from before the holder was known. QuotaFleetTest passes that time, as strict as before.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -56,18 +56,21 @@
         m_grantsFrom.reset();
     if (!hasChanged)
         return;
-    m_vacantSince = now;
+    m_changedAt = now;
     m_silentSince.reset();
     m_hasHolderEnded = false;
 }
 
-void LeaseKeeper::onProbe(const std::string &host, ProbeResult result, TimePoint now)
+void LeaseKeeper::onProbe(const std::string &host, ProbeResult result, TimePoint calledAt,
+                          TimePoint now)
 {
     if (host != m_lease.holder) {
         if (result == ProbeResult::Reached)
             m_reachedOtherAt = now;
         return;
     }
+    if (calledAt < m_changedAt)
+        return;
     switch (result) {
     case ProbeResult::Reached:
         m_silentSince.reset();
@@ -88,7 +91,7 @@
         return false;
     const auto wait = static_cast<std::int64_t>(*ownTurn) * m_rules.turn;
     if (isVacant())
-        return now >= m_vacantSince + wait;
+        return now >= m_changedAt + wait;
     if (m_lease.holder == m_self.host || m_hasHolderEnded)
         return true;
     // A process that is cut off itself must not take the lease from a holder that others reach.
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -46,8 +46,9 @@
     void setCandidates(std::vector<std::string> candidates);
     /// \brief The store holds \a lease, or none, as of \a revision.
     void onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now);
-    /// \brief Records a call to \a host.
-    void onProbe(const std::string &host, ProbeResult result, TimePoint now);
+    /// \brief Records a call to \a host that was made at \a calledAt. A call from before the
+    /// present holder was known proves nothing about it.
+    void onProbe(const std::string &host, ProbeResult result, TimePoint calledAt, TimePoint now);
     /// \brief The lease to write now; nullopt if none. The write is in progress until onWritten().
     std::optional<Lease> beginWrite(TimePoint now);
     /// \brief The write ended; \a lease is set if it took effect.
@@ -82,7 +83,7 @@
     bool m_isKnown = false; ///< the store has been read
     bool m_isFirstEver = false; ///< the store has never had this lease
     Lease m_lease; ///< newest known; empty if there is none
-    TimePoint m_vacantSince;
+    TimePoint m_changedAt; ///< when the present holder, or the lack of one, became known
     std::optional<TimePoint> m_silentSince; ///< first call to the holder without a reply
     bool m_hasHolderEnded = false;
     TimePoint m_reachedOtherAt; ///< last reply of a host that is not the holder
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -133,7 +133,7 @@
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         const bool hasEnded
             = isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation());
-        m_ranges[i].keeper->onProbe(host, hasEnded ? ProbeResult::Ended : result, now);
+        m_ranges[i].keeper->onProbe(host, hasEnded ? ProbeResult::Ended : result, sentAt, now);
     }
 }
 
--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -41,5 +41,18 @@
     EXPECT_EQ(m_keeper.holder(), "b");
 }
 
+// The reply of a former process, or the refusal of a connection before the host's new process ran,
+// proves nothing about the new process. A successor that did not wait would grant beside it.
+TEST_F(LeaseKeeperTest, aCallFromBeforeAChangeOfTheHolderProvesNothingAboutIt)
+{
+    learn("b", 2, start);
+    const TimePoint calledAt = start + 1s;
+    m_keeper.onLease(Lease{"b", "b-2", 3, 3}, 3, start + 2s);
+    m_keeper.onProbe("b", ProbeResult::Ended, calledAt, start + 2s);
+    EXPECT_FALSE(m_keeper.beginWrite(start + 2s));
+    m_keeper.onProbe("b", ProbeResult::Ended, start + 2s, start + 3s);
+    EXPECT_TRUE(m_keeper.beginWrite(start + 3s));
+}
+
 } // namespace
 } // namespace gwt
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -164,7 +164,7 @@
         const bool isRefused = from.isReachable && to.isReachable && m_now < to.downUntil;
         if ((result == ProbeResult::Reached && isReplaced) || isRefused)
             result = ProbeResult::Ended;
-        from.keeper.onProbe(to.name, result, m_now);
+        from.keeper.onProbe(to.name, result, m_now, m_now);
     }
 
     /// Sends a request of a team to a host; true if it runs.
