Let two candidates that do not reach each other settle on one holder

Cause: with only the link between two candidates down, each found the holder silent, reached the third one and took the lease, about once a second. Each change costs the wait of 10 s, so nobody granted while the link was down. Change: a holder that was replaced leaves its silent successor to the other candidates for 30 s. Result: LeaseKeeperTest saw 24 changes and no grant in 25 s before, 2 changes and a holder that grants with it; QuotaFleetTest passes (13 tests).

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -49,6 +49,7 @@
     const Lease newest = lease.value_or(Lease{});
     const bool hasChanged = !m_isKnown || newest.holder != m_lease.holder
         || newest.incarnation != m_lease.incarnation;
+    const bool isReplaced = isOwn(m_lease) && !newest.holder.empty();
     m_isKnown = true;
     m_isFirstEver = !lease && storeEraOf(revision) == 0;
     m_lease = newest;
@@ -57,6 +58,7 @@
     if (!hasChanged)
         return;
     m_changedAt = now;
+    m_replacedAt = isReplaced ? std::optional(now) : std::nullopt;
     m_silentSince.reset();
     m_hasHolderEnded = false;
 }
@@ -94,6 +96,8 @@
         return now >= m_changedAt + wait;
     if (m_lease.holder == m_self.host || m_hasHolderEnded)
         return true;
+    if (m_replacedAt && now - *m_replacedAt < m_rules.replacedPause)
+        return false;
     // A process that is cut off itself must not take the lease from a holder that others reach.
     const bool reachesOthers
         = m_candidates.size() < 3 || now - m_reachedOtherAt <= m_rules.silenceLimit;
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -23,6 +23,10 @@
     /// of the store. Only a holder that is lost without a trace makes its successor wait.
     Duration proofLimit = std::chrono::seconds(10);
     Duration silenceLimit = std::chrono::seconds(1); ///< without a reply until a challenge
+    /// Time for which a holder that was replaced leaves a silent successor to the other candidates.
+    /// If only the link between the two is down, they would replace each other without end, and
+    /// each change costs the wait. Three times that, so that one of them grants most of the time.
+    Duration replacedPause = std::chrono::seconds(30);
     Duration turn = std::chrono::seconds(2); ///< between two candidates for a vacant lease
 };
 
@@ -84,6 +88,7 @@
     bool m_isFirstEver = false; ///< the store has never had this lease
     Lease m_lease; ///< newest known; empty if there is none
     TimePoint m_changedAt; ///< when the present holder, or the lack of one, became known
+    std::optional<TimePoint> m_replacedAt; ///< set if the present holder replaced this process
     std::optional<TimePoint> m_silentSince; ///< first call to the holder without a reply
     bool m_hasHolderEnded = false;
     TimePoint m_reachedOtherAt; ///< last reply of a host that is not the holder
--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -41,6 +41,33 @@
     EXPECT_EQ(m_keeper.holder(), "b");
 }
 
+// Two candidates that reach the store and the third one, but not each other, must not take a lease
+// from each other again and again: each change costs the wait, so that none of them would grant.
+TEST_F(LeaseKeeperTest, aHolderThatWasReplacedDoesNotChallengeItsSuccessorForSilence)
+{
+    LeaseKeeper other(m_rules, {"b", "b-1"}, 0);
+    other.setCandidates({"a", "b", "c"});
+    std::optional<Lease> stored;
+    std::uint64_t revision = 1;
+    int changes = 0;
+    for (TimePoint now = start; now < start + 25s; now += 100ms) {
+        for (LeaseKeeper *keeper : {&m_keeper, &other}) {
+            keeper->onLease(stored, revision, now);
+            keeper->onProbe(keeper == &m_keeper ? "b" : "a", ProbeResult::NoReply, now, now);
+            keeper->onProbe("c", ProbeResult::Reached, now, now);
+            auto update = keeper->beginWrite(now);
+            if (!update)
+                continue;
+            ++changes;
+            update->revision = ++revision;
+            stored = update;
+            keeper->onWritten(update, now);
+        }
+    }
+    EXPECT_EQ(changes, 2);
+    EXPECT_TRUE(other.mayGrant(start + 25s, start + 25s));
+}
+
 // The reply of a former process, or the refusal of a connection before the host's new process ran,
 // proves nothing about the new process. A successor that did not wait would grant beside it.
 TEST_F(LeaseKeeperTest, aCallFromBeforeAChangeOfTheHolderProvesNothingAboutIt)
