Do not decide for a whole range from the empty bucket of one team

Cause: a coordinator that has just taken over answers a team that finds its bucket empty with UNKNOWN, the same as without a proof of its lease. The asking host then decided 250 ms without the coordinator for all teams of the range, so for 5 s after each change one team beyond its quota had the requests of a third of the teams refused. Change: such a reply is NOT_FILLED and concerns only its team. Result: QuotaServiceTest fails before and passes with it.

--- a/src/gateway/quota/QuotaClient.cpp
+++ b/src/gateway/quota/QuotaClient.cpp
@@ -133,6 +133,11 @@
             reason = "no_lease";
             break;
         }
+        // Concerns only this team, so the coordinator is asked for the others of the range.
+        if (reply.outcome() == wire::QuotaReply::NOT_FILLED) {
+            handler(decideAlone(team, "not_filled"));
+            co_return;
+        }
         const QuotaDecision decision = decisionOf(reply);
         count(decision.outcome == QuotaOutcome::Granted ? "granted" : "over_limit");
         handler(decision);
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -238,6 +238,8 @@
         reply.set_outcome(wire::QuotaReply::GRANTED);
     else if (decision.outcome == QuotaOutcome::OverLimit)
         reply.set_outcome(wire::QuotaReply::OVER_LIMIT);
+    else
+        reply.set_outcome(wire::QuotaReply::NOT_FILLED);
     return reply;
 }
 
--- /dev/null
+++ b/test/QuotaServiceTest.cpp
@@ -0,0 +1,114 @@
+#include "ScriptedServer.h"
+#include "gateway/quota/QuotaClient.h"
+
+#include <gtest/gtest.h>
+
+namespace gwt {
+namespace {
+
+using namespace std::chrono_literals;
+using test::runUntil;
+
+/// The leases of a store that always answers at once.
+class MemoryLeaseStore : public LeaseStore
+{
+public:
+    void startWatching(TableHandler handler) override
+    {
+        m_handler = std::move(handler);
+        notify();
+    }
+    void stopWatching() override { m_handler = nullptr; }
+    bool isWatched() const { return m_handler != nullptr; }
+    TimePoint provenAt() const override { return m_provenAt.value_or(Clock::now()); }
+    void setProvenAt(TimePoint time) { m_provenAt = time; }
+    void write(const std::string &name, const Lease &lease, WriteHandler handler) override
+    {
+        Lease written = lease;
+        written.revision = ++m_revision;
+        m_leases[name] = written;
+        handler(written);
+        notify();
+    }
+
+private:
+    void notify()
+    {
+        if (m_handler)
+            m_handler(m_leases, m_revision);
+    }
+
+    TableHandler m_handler;
+    LeaseTable m_leases;
+    std::uint64_t m_revision = 1;
+    std::optional<TimePoint> m_provenAt;
+};
+
+/// A host that coordinates all ranges, and asks itself.
+class QuotaServiceTest : public testing::Test
+{
+protected:
+    QuotaServiceTest()
+    {
+        RoutingConfig config;
+        config.version = 1;
+        config.teams = {makeTeam("hot")};
+        m_service.onConfig(config);
+        setMembers({m_options.self});
+        m_service.start();
+        runUntil(m_context, [&] {
+            return m_service.handle(requestOf("hot")).holder() == "self"
+                || m_service.handle(requestOf("hot")).excess() > 0;
+        });
+    }
+
+    static Team makeTeam(const std::string &name) { return {name, {}, std::nullopt, {100, 1}}; }
+    static wire::QuotaRequest requestOf(const std::string &team)
+    {
+        wire::QuotaRequest request;
+        request.set_team(team);
+        request.set_rate_per_second(100);
+        request.set_burst(1);
+        return request;
+    }
+    void setMembers(const std::vector<FleetMember> &members)
+    {
+        m_service.onMembers(members);
+        m_client.onMembers(members);
+    }
+    QuotaOutcome acquire(const std::string &team)
+    {
+        std::optional<QuotaOutcome> outcome;
+        m_client.acquire(makeTeam(team), Clock::now() + 1s,
+                         [&](const QuotaDecision &decision) { outcome = decision.outcome; });
+        runUntil(m_context, [&] { return outcome.has_value(); });
+        return outcome.value_or(QuotaOutcome::Unknown);
+    }
+
+    boost::asio::io_context m_context;
+    Metrics m_metrics;
+    MemoryLeaseStore m_store;
+    PeerClient m_peers{m_context.get_executor(), 300ms};
+    const QuotaOptions m_options{{"self", {"127.0.0.1", 1}, "z"}, "self-1", {5s, 0, 0}, {}};
+    QuotaService m_service{m_context, m_options, m_store, m_peers, m_metrics};
+    QuotaClient m_client{m_context, m_options, m_service, m_peers, m_metrics};
+};
+
+// After a change of the coordinator, a team that sends far more than its quota must not cost the
+// other teams of its range their service.
+TEST_F(QuotaServiceTest, anEmptyBucketOfOneTeamDoesNotAffectTheOthers)
+{
+    std::string other = "other";
+    while (quotaRangeOf(other) != quotaRangeOf("hot"))
+        other += "x";
+    runUntil(
+        m_context, [] { return false; }, 100ms);
+    QuotaOutcome last = QuotaOutcome::Granted;
+    for (int i = 0; i < 200 && last == QuotaOutcome::Granted; ++i)
+        last = acquire("hot");
+    ASSERT_EQ(last, QuotaOutcome::Unknown);
+    EXPECT_EQ(acquire(other), QuotaOutcome::Granted);
+}
+
+} // namespace
+} // namespace gwt
