Keep following a lease while this process holds it

Cause: a holder that no longer was a candidate, because hosts before it in the order had joined or returned, stopped watching its lease. Its proof aged, it granted nothing, and as the candidates reached it they did not challenge it: the range had no coordinator from then on. The same held for a lease whose write got no reply. Change: a holder watches until it is replaced, and takes its lease again if it may not grant under it.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -88,6 +88,9 @@
 
 bool LeaseKeeper::isTakeoverDue(TimePoint now) const
 {
+    // The write took effect, but its reply was lost.
+    if (isOwn(m_lease))
+        return true;
     const auto ownTurn = turn();
     if (!ownTurn)
         return false;
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -64,6 +64,8 @@
     std::string hostToProbe() const;
     /// \brief Name of the host that holds the lease; empty if unknown.
     const std::string &holder() const { return m_lease.holder; }
+    /// \brief True if this process holds the lease, whether or not it may grant.
+    bool isHolder() const { return !m_isReleased && isOwn(m_lease); }
     /// \brief When this process may begin to grant under its present lease; nullopt if it holds
     /// none.
     std::optional<TimePoint> grantsFrom() const { return m_grantsFrom; }
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -67,7 +67,10 @@
         names.push_back(member.name);
     const bool isCandidate
         = std::find(names.begin(), names.end(), m_options.self.name) != names.end();
-    const bool isWatching = m_isActive && isCandidate && !m_isStopping;
+    // A holder that others reach is not challenged, so it follows its lease until it is replaced.
+    const bool isHolder = std::any_of(m_ranges.begin(), m_ranges.end(),
+                                      [](const Range &range) { return range.keeper->isHolder(); });
+    const bool isWatching = m_isActive && (isCandidate || isHolder) && !m_isStopping;
     if (isWatching != std::exchange(m_isWatching, isWatching)) {
         if (isWatching)
             m_store.startWatching([this](const LeaseTable &leases, std::uint64_t revision) {
--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -41,6 +41,21 @@
     EXPECT_EQ(m_keeper.holder(), "b");
 }
 
+// Others do not challenge a holder that they reach, so it must grant in the end.
+TEST_F(LeaseKeeperTest, aLeaseWhoseWriteGotNoReplyIsTakenAgainAlsoByANonCandidate)
+{
+    m_keeper.onLease(std::nullopt, 1, start);
+    ASSERT_TRUE(m_keeper.beginWrite(start));
+    m_keeper.onWritten(std::nullopt, start + 2s);
+    learn("a", 2, start + 2s);
+    m_keeper.setCandidates({"b", "c", "d"});
+    const auto again = m_keeper.beginWrite(start + 2s);
+    ASSERT_TRUE(again);
+    m_keeper.onWritten(Lease{"a", "a-1", 3, 3}, start + 2s);
+    EXPECT_FALSE(m_keeper.mayGrant(start + 11s, start + 11s));
+    EXPECT_TRUE(m_keeper.mayGrant(start + 12s, start + 12s));
+}
+
 // Two candidates that reach the store and the third one, but not each other, must not take a lease
 // from each other again and again: each change costs the wait, so that none of them would grant.
 TEST_F(LeaseKeeperTest, aHolderThatWasReplacedDoesNotChallengeItsSuccessorForSilence)
--- a/test/QuotaServiceTest.cpp
+++ b/test/QuotaServiceTest.cpp
@@ -20,8 +20,7 @@
     }
     void stopWatching() override { m_handler = nullptr; }
     bool isWatched() const { return m_handler != nullptr; }
-    TimePoint provenAt() const override { return m_provenAt.value_or(Clock::now()); }
-    void setProvenAt(TimePoint time) { m_provenAt = time; }
+    TimePoint provenAt() const override { return Clock::now(); }
     void write(const std::string &name, const Lease &lease, WriteHandler handler) override
     {
         Lease written = lease;
@@ -41,7 +40,6 @@
     TableHandler m_handler;
     LeaseTable m_leases;
     std::uint64_t m_revision = 1;
-    std::optional<TimePoint> m_provenAt;
 };
 
 /// A host that coordinates all ranges, and asks itself.
@@ -110,5 +108,22 @@
     EXPECT_EQ(acquire(other), QuotaOutcome::Granted);
 }
 
+// A holder that others reach is not challenged. If it stopped following its lease because hosts
+// before it in the order have joined, its ranges would have no coordinator from then on.
+TEST_F(QuotaServiceTest, aHolderFollowsItsLeaseAlsoWhenItIsNoLongerACandidate)
+{
+    ASSERT_TRUE(m_store.isWatched());
+    std::vector<FleetMember> members{m_options.self};
+    DisseminationTree tree("self");
+    for (int i = 0; tree.isWatcher(Clock::now()); ++i) {
+        members.push_back({"host-" + std::to_string(i), {"127.0.0.1", 1}, "z"});
+        tree.setMembers(members);
+    }
+    setMembers(members);
+    runUntil(
+        m_context, [] { return false; }, 150ms);
+    EXPECT_TRUE(m_store.isWatched());
+}
+
 } // namespace
 } // namespace gwt
