Replace a holder that has lost the store but not the other hosts

Cause: a holder that is cut off from the store alone grants nothing once its proof is 10 s old, but answers calls, so no candidate challenged it and its range had no coordinator until the store was back. Change: it says so when a candidate asks, at half that age; a candidate that follows the store then counts its reply as none. A candidate without a recent proof of its own does not, as the store may be down for all.

--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -11,7 +11,7 @@
 /// \brief Result of a call to the holder of a lease.
 enum class ProbeResult {
     Reached,
-    NoReply,
+    NoReply, ///< or one that says that it has lost the store
     Ended ///< its process certainly no longer runs
 };
 
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds tickInterval{100};
 constexpr Milliseconds probeInterval{400};
 constexpr Milliseconds probeTimeout{300}; ///< above the time that a busy small host needs
+/// Above the age of a proof while the store answers: a watch of 2 s and its margin. A process with
+/// an older one has lost the store, like perhaps all others, and does not judge them by that.
+constexpr Milliseconds recentProofAge{3000};
 const std::string probeId = "quota-probe";
 
 } // namespace
@@ -68,9 +71,7 @@
     const bool isCandidate
         = std::find(names.begin(), names.end(), m_options.self.name) != names.end();
     // A holder that others reach is not challenged, so it follows its lease until it is replaced.
-    const bool isHolder = std::any_of(m_ranges.begin(), m_ranges.end(),
-                                      [](const Range &range) { return range.keeper->isHolder(); });
-    const bool isWatching = m_isActive && (isCandidate || isHolder) && !m_isStopping;
+    const bool isWatching = m_isActive && (isCandidate || isHolder()) && !m_isStopping;
     if (isWatching != std::exchange(m_isWatching, isWatching)) {
         if (isWatching)
             m_store.startWatching([this](const LeaseTable &leases, std::uint64_t revision) {
@@ -133,10 +134,16 @@
     }
     m_probedHosts.erase(host);
     const TimePoint now = Clock::now();
+    const bool hasLostStore = isOk(reply) && valueOf(reply).outcome() == wire::QuotaReply::UNKNOWN
+        && now - m_store.provenAt() <= recentProofAge;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
-        const bool hasEnded
-            = isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation());
-        m_ranges[i].keeper->onProbe(host, hasEnded ? ProbeResult::Ended : result, sentAt, now);
+        LeaseKeeper &keeper = *m_ranges[i].keeper;
+        ProbeResult rangeResult = result;
+        if (isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation()))
+            rangeResult = ProbeResult::Ended;
+        else if (hasLostStore && keeper.holder() == host)
+            rangeResult = ProbeResult::NoReply;
+        keeper.onProbe(host, rangeResult, sentAt, now);
     }
 }
 
@@ -217,14 +224,28 @@
         spawn(m_executor, probe(host));
 }
 
+bool QuotaService::isHolder() const
+{
+    return std::any_of(m_ranges.begin(), m_ranges.end(),
+                       [](const Range &range) { return range.keeper->isHolder(); });
+}
+
+bool QuotaService::isLosingProof(TimePoint now) const
+{
+    return isHolder() && now - m_store.provenAt() > m_options.leases.proofLimit / 2;
+}
+
 wire::QuotaReply QuotaService::handle(const wire::QuotaRequest &request)
 {
     wire::QuotaReply reply;
     reply.set_incarnation(m_options.incarnation);
     reply.set_outcome(wire::QuotaReply::UNKNOWN);
-    if (request.team().empty())
-        return reply;
     const TimePoint now = Clock::now();
+    if (request.team().empty()) {
+        if (!isLosingProof(now))
+            reply.set_outcome(wire::QuotaReply::GRANTED);
+        return reply;
+    }
     Range &range = m_ranges[quotaRangeOf(request.team())];
     if (!range.ledger) {
         reply.set_outcome(wire::QuotaReply::NOT_HOLDER);
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -48,7 +48,7 @@
     /// \brief Releases the leases: this process is about to end.
     void stop();
     /// \brief Handles a request of another process, or of this one. Without a team it only asks
-    /// whether this process runs.
+    /// whether this process runs and can prove the leases that it holds.
     wire::QuotaReply handle(const wire::QuotaRequest &request);
     /// \brief Names of the hosts to ask, the most likely holder of \a range first.
     std::vector<std::string> candidates(std::size_t range, TimePoint now) const;
@@ -70,6 +70,10 @@
     void onLeases(const LeaseTable &leases, std::uint64_t revision);
     void write(std::size_t range, const Lease &lease);
     void logHolder(std::size_t range);
+    /// \brief True if this process holds a lease.
+    bool isHolder() const;
+    /// \brief True if this process holds a lease that it will soon be unable to prove.
+    bool isLosingProof(TimePoint now) const;
     /// \brief True if \a host holds the lease of \a range by another process than \a incarnation.
     bool hasReplacedHolder(std::size_t range, const std::string &host,
                            const std::string &incarnation) const;
--- a/test/QuotaServiceTest.cpp
+++ b/test/QuotaServiceTest.cpp
@@ -1,5 +1,6 @@
 #include "ScriptedServer.h"
 #include "gateway/quota/QuotaClient.h"
+#include "peer/PeerCodec.h"
 
 #include <gtest/gtest.h>
 
@@ -18,9 +19,11 @@
         m_handler = std::move(handler);
         notify();
     }
+    std::string holderOf(const std::string &name) const { return m_leases.at(name).holder; }
     void stopWatching() override { m_handler = nullptr; }
     bool isWatched() const { return m_handler != nullptr; }
-    TimePoint provenAt() const override { return Clock::now(); }
+    TimePoint provenAt() const override { return Clock::now() - m_age; }
+    void setAge(Duration age) { m_age = age; }
     void write(const std::string &name, const Lease &lease, WriteHandler handler) override
     {
         Lease written = lease;
@@ -40,6 +43,7 @@
     TableHandler m_handler;
     LeaseTable m_leases;
     std::uint64_t m_revision = 1;
+    Duration m_age{0}; ///< of the proof
 };
 
 /// A host that coordinates all ranges, and asks itself.
@@ -125,5 +129,44 @@
     EXPECT_TRUE(m_store.isWatched());
 }
 
+// A holder that has lost the store, but not the other hosts, grants nothing and answers calls.
+TEST(QuotaServiceChallengeTest, aHolderThatCannotProveItsLeaseIsReplaced)
+{
+    boost::asio::io_context context;
+    Metrics metrics;
+    PeerServer holder(context.get_executor());
+    std::function<Task<wire::QuotaReply>(wire::QuotaRequest, PeerRequest)> reply
+        = [](wire::QuotaRequest, PeerRequest) -> Task<wire::QuotaReply> {
+        wire::QuotaReply unproven;
+        unproven.set_incarnation("b-1");
+        unproven.set_outcome(wire::QuotaReply::UNKNOWN);
+        co_return unproven;
+    };
+    holder.route(QuotaService::s_path, peerHandler(std::move(reply)));
+    const Endpoint address = valueOf(holder.listen({"127.0.0.1", 0}));
+    MemoryLeaseStore store;
+    store.write("quota-0", {"b", "b-1", 1, 0}, [](const Outcome<Lease> &) {});
+    PeerClient peers(context.get_executor(), 300ms);
+    const QuotaOptions options{{"a", {"127.0.0.1", 1}, "z"}, "a-1", {5s, 0, 0}, {}};
+    QuotaService service(context, options, store, peers, metrics);
+    RoutingConfig config;
+    config.teams = {{"t", {}, std::nullopt, {5, 5}}};
+    service.onConfig(config);
+    service.onMembers({options.self, {"b", address, "z"}});
+    service.start();
+    runUntil(
+        context, [&] { return store.holderOf("quota-0") == "a"; }, 5s);
+    EXPECT_EQ(store.holderOf("quota-0"), "a");
+}
+
+// Other hosts replace a holder that has lost the store, and only such a one.
+TEST_F(QuotaServiceTest, tellsOtherHostsWhetherItsLeasesAreProven)
+{
+    const wire::QuotaRequest probe;
+    EXPECT_EQ(m_service.handle(probe).outcome(), wire::QuotaReply::GRANTED);
+    m_store.setAge(6s);
+    EXPECT_EQ(m_service.handle(probe).outcome(), wire::QuotaReply::UNKNOWN);
+}
+
 } // namespace
 } // namespace gwt
