Count the wait for a quota from the check, not from the first byte

Cause: the wait of at most 30 ms began with the first byte of the request and ended with the caller's deadline. A body that took longer to arrive, or a caller with a few milliseconds left, gave the coordinator no time to reply; the host then took it to be silent and decided 250 ms without it for a third of the teams. Change: the wait begins with the check.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -256,7 +256,9 @@
         return;
     }
     const Duration wait = std::min<Duration>(maxQuotaWait, plan.route->target / quotaWaitDivisor);
-    const TimePoint deadline = std::min(plan.exchange->arrivedAt() + wait, plan.deadline);
+    // Not from the arrival, nor limited by the caller's deadline: with less time a coordinator that
+    // is well would seem silent.
+    const TimePoint deadline = Clock::now() + wait;
     const auto isGone = std::make_shared<bool>(false);
     plan.exchange->onDisconnect([isGone] { *isGone = true; });
     const Team &team = *plan.team;
--- a/test/TeamKeyTest.cpp
+++ b/test/TeamKeyTest.cpp
@@ -36,10 +36,17 @@
     explicit FixedQuota(QuotaOutcome outcome)
         : m_outcome(outcome)
     { }
-    void acquire(const Team &, TimePoint, Handler handler) override { handler({m_outcome, 1}); }
+    void acquire(const Team &, TimePoint deadline, Handler handler) override
+    {
+        m_wait = deadline - Clock::now();
+        handler({m_outcome, 1});
+    }
+    /// \brief Time that the last request left for the check.
+    Duration lastWait() const { return m_wait; }
 
 private:
     QuotaOutcome m_outcome;
+    Duration m_wait{0};
 };
 
 class TeamKeyTest : public GatewayTest
@@ -203,5 +210,29 @@
                                                    200, 1}),
                          [](const auto &info) { return info.param.name; });
 
+// A caller that takes its time to send a body must not make the coordinator seem silent, because
+// this host then refuses the requests of other teams.
+TEST_F(TeamKeyTest, aSlowBodyLeavesTheWholeTimeToCheckTheQuota)
+{
+    FixedQuota quota(QuotaOutcome::Granted);
+    GatewayCore core(m_context, m_timers, m_options, m_headerNames, m_metrics, &quota);
+    CallerServer callers(m_context,
+                         CallerContext{m_timers, core, m_metrics, core.limits(), m_headerNames});
+    m_gatewayEndpoint = valueOf(callers.listen({"127.0.0.1", 0}));
+    m_config.teams[0].quota = {5, 1};
+    start();
+    core.onConfig(m_config);
+    core.onBackends(m_entries);
+    auto caller = connectRaw();
+    const std::string bytes
+        = request("/one/1", "Authorization: Bearer k1\r\nContent-Length: 2\r\n", "b");
+    boost::asio::write(caller, boost::asio::buffer(bytes));
+    runFor(60ms);
+    boost::asio::write(caller, boost::asio::buffer("b", 1));
+    runUntil(m_context, [&] { return !m_servers[0]->requests().empty(); });
+    EXPECT_GT(quota.lastWait(), 20ms);
+    runUntil(m_context, [&] { return core.openAttempts() == 0; });
+}
+
 } // namespace
 } // namespace gwt::test
