Give a new process no standing rights for one window

Cause: standing rights are counted in memory, so a host that was killed and restarted could use them again within the window, each time it restarted. Change: a process has none for one window after its start. The constructor calls of QuotaFleetTest pass the start, as strict as before.

--- a/src/gateway/quota/QuotaClient.cpp
+++ b/src/gateway/quota/QuotaClient.cpp
@@ -42,7 +42,7 @@
     , m_service(service)
     , m_peers(peers)
     , m_metrics(metrics)
-    , m_rights(options.rules, options.self.name)
+    , m_rights(options.rules, options.self.name, Clock::now())
 { }
 
 void QuotaClient::onMembers(const std::vector<FleetMember> &members)
--- a/src/gateway/quota/StandingRights.cpp
+++ b/src/gateway/quota/StandingRights.cpp
@@ -16,9 +16,10 @@
 
 } // namespace
 
-StandingRights::StandingRights(QuotaRules rules, std::string self)
+StandingRights::StandingRights(QuotaRules rules, std::string self, TimePoint start)
     : m_rules(rules)
     , m_self(std::move(self))
+    , m_start(start)
 { }
 
 void StandingRights::setMembers(const std::vector<FleetMember> &members)
@@ -45,6 +46,8 @@
 
 bool StandingRights::tryUse(const Team &team, TimePoint now)
 {
+    if (now < m_start + m_rules.window)
+        return false;
     std::deque<TimePoint> &uses = m_uses[team.name];
     while (!uses.empty() && now - uses.front() > m_rules.window)
         uses.pop_front();
--- a/src/gateway/quota/StandingRights.h
+++ b/src/gateway/quota/StandingRights.h
@@ -18,7 +18,9 @@
 class StandingRights
 {
 public:
-    StandingRights(QuotaRules rules, std::string self);
+    /// \brief There are no rights for one window after \a start, the start of this process: the one
+    /// before it may have used them.
+    StandingRights(QuotaRules rules, std::string self, TimePoint start);
 
     void setMembers(const std::vector<FleetMember> &members);
     /// \brief Uses one right of this host for \a team; false if it has none left in this window.
@@ -29,6 +31,7 @@
 private:
     const QuotaRules m_rules;
     const std::string m_self;
+    const TimePoint m_start;
     std::vector<std::string> m_hosts;
     std::map<std::string, std::deque<TimePoint>> m_uses; ///< by name of the team
 };
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -51,11 +51,11 @@
 /// A host of a fleet in virtual time. All teams are in one range.
 struct SimulatedHost
 {
-    SimulatedHost(std::string hostName, int processNumber)
+    SimulatedHost(std::string hostName, int processNumber, TimePoint startedAt)
         : name(std::move(hostName))
         , incarnation(name + "-" + std::to_string(processNumber))
         , keeper(LeaseRules{}, {name, incarnation}, 0)
-        , rights(rules, name)
+        , rights(rules, name, startedAt)
     { }
 
     std::string name;
@@ -97,7 +97,7 @@
     {
         for (int i = 0; i < s_hosts; ++i) {
             m_members.push_back({"host-" + std::to_string(i), {}, "z"});
-            m_hosts.push_back(std::make_unique<SimulatedHost>(m_members.back().name, 0));
+            m_hosts.push_back(std::make_unique<SimulatedHost>(m_members.back().name, 0, start));
         }
         for (const auto &host : m_hosts)
             prepare(*host);
@@ -223,7 +223,7 @@
         if (fleet.pauses)
             host.pausedUntil = m_now + Milliseconds(time(m_random));
         if (fleet.kills) {
-            m_hosts[hit] = std::make_unique<SimulatedHost>(host.name, ++m_processes);
+            m_hosts[hit] = std::make_unique<SimulatedHost>(host.name, ++m_processes, m_now);
             prepare(*m_hosts[hit]);
             m_hosts[hit]->downUntil = m_now + Milliseconds(time(m_random));
         }
@@ -331,12 +331,23 @@
     const Team team = makeTeam("t", 5);
     std::size_t total = 0;
     for (const FleetMember &member : members) {
-        StandingRights rights(rules, member.name);
+        StandingRights rights(rules, member.name, start);
         rights.setMembers(members);
         total += rights.rightsFor(team);
     }
     EXPECT_EQ(total, static_cast<std::size_t>(0.4 * rules.toleranceOf(team.quota)));
 }
 
+// The process before this one may have used the rights of the host, and a host that restarts again
+// and again would use them as often.
+TEST(StandingRightsTest, aNewProcessHasNoneForOneWindow)
+{
+    const Team team = makeTeam("t", 5);
+    StandingRights rights(rules, "host", start);
+    rights.setMembers({{"host", {}, "z"}});
+    EXPECT_FALSE(rights.tryUse(team, start + rules.window - 1ms));
+    EXPECT_TRUE(rights.tryUse(team, start + rules.window));
+}
+
 } // namespace
 } // namespace gwt
