Let the next candidate take a released lease at once

Cause: the turn of a candidate counted the holder that had just released the lease, so at each planned restart of a range's first candidate the next one waited 2 s, and requests without a standing right were refused. Change: the process that released the lease is not counted. Result: LeaseKeeperTest fails before and passes with it.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -33,12 +33,15 @@
 
 std::optional<std::size_t> LeaseKeeper::turn() const
 {
-    const auto self = std::find(m_candidates.begin(), m_candidates.end(), m_self.host);
-    if (self == m_candidates.end())
-        return std::nullopt;
-    const std::size_t count = m_candidates.size();
-    const auto position = static_cast<std::size_t>(self - m_candidates.begin());
-    return (position + count - m_preference % count) % count;
+    std::size_t ahead = 0;
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+        const std::string &candidate = m_candidates[(m_preference + i) % m_candidates.size()];
+        if (candidate == m_self.host)
+            return ahead;
+        if (candidate != m_releasedBy)
+            ++ahead;
+    }
+    return std::nullopt;
 }
 
 void LeaseKeeper::onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now)
@@ -49,6 +52,7 @@
     const Lease newest = lease.value_or(Lease{});
     const bool hasChanged = !m_isKnown || newest.holder != m_lease.holder
         || newest.incarnation != m_lease.incarnation;
+    const std::string formerHolder = m_lease.holder;
     const bool isReplaced = isOwn(m_lease) && !newest.holder.empty();
     m_isKnown = true;
     m_isFirstEver = !lease && storeEraOf(revision) == 0;
@@ -59,6 +63,7 @@
         return;
     m_changedAt = now;
     m_replacedAt = isReplaced ? std::optional(now) : std::nullopt;
+    m_releasedBy = isVacant() ? formerHolder : std::string();
     m_silentSince.reset();
     m_hasHolderEnded = false;
 }
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -90,6 +90,7 @@
     bool m_isFirstEver = false; ///< the store has never had this lease
     Lease m_lease; ///< newest known; empty if there is none
     TimePoint m_changedAt; ///< when the present holder, or the lack of one, became known
+    std::string m_releasedBy; ///< holder that has given the lease up, while nobody has taken it
     std::optional<TimePoint> m_replacedAt; ///< set if the present holder replaced this process
     std::optional<TimePoint> m_silentSince; ///< first call to the holder without a reply
     bool m_hasHolderEnded = false;
--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -56,6 +56,23 @@
     EXPECT_TRUE(m_keeper.mayGrant(start + 12s, start + 12s));
 }
 
+// Each planned restart of a coordinator would otherwise leave its range without one for the turn of
+// the host that has just given it up.
+TEST_F(LeaseKeeperTest, aReleasedLeaseIsTakenAtOnceByTheNextCandidate)
+{
+    LeaseKeeper next(m_rules, {"b", "b-1"}, 0);
+    next.setCandidates({"a", "b", "c"});
+    next.onLease(Lease{"a", "a-1", 1, 2}, 2, start);
+    next.onLease(Lease{"", "", 2, 3}, 3, start + 1s);
+    EXPECT_TRUE(next.beginWrite(start + 1s));
+    LeaseKeeper last(m_rules, {"c", "c-1"}, 0);
+    last.setCandidates({"a", "b", "c"});
+    last.onLease(Lease{"a", "a-1", 1, 2}, 2, start);
+    last.onLease(Lease{"", "", 2, 3}, 3, start + 1s);
+    EXPECT_FALSE(last.beginWrite(start + 1s));
+    EXPECT_TRUE(last.beginWrite(start + 1s + m_rules.turn));
+}
+
 // Two candidates that reach the store and the third one, but not each other, must not take a lease
 // from each other again and again: each change costs the wait, so that none of them would grant.
 TEST_F(LeaseKeeperTest, aHolderThatWasReplacedDoesNotChallengeItsSuccessorForSilence)
