Release a lease whose write ends after the process began to stop

Cause: a lease that was being written when the process began to stop stayed with it until its end, up to graceS later, as candidates that reach the holder do not challenge it. Change: it is released when the write has ended. Result: LeaseKeeperTest fails before and passes with it; QuotaServiceTest passes (4 tests).

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -133,12 +133,14 @@
 void LeaseKeeper::onWritten(const std::optional<Lease> &lease, TimePoint now)
 {
     m_isWriting = false;
-    if (!lease || m_isReleased)
+    if (!lease)
         return;
     // The watch may have reported a successor before this reply arrived.
     if (lease->revision < m_lease.revision)
         return;
     m_lease = *lease;
+    if (m_isReleased)
+        return;
     m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
 }
 
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -57,7 +57,8 @@
     std::optional<Lease> beginWrite(TimePoint now);
     /// \brief The write ended; \a lease is set if it took effect.
     void onWritten(const std::optional<Lease> &lease, TimePoint now);
-    /// \brief Stops granting for good; returns the lease to write, if this process holds it.
+    /// \brief Stops granting for good; returns the lease to write, if this process holds it. To be
+    /// repeated after a write that was in progress.
     std::optional<Lease> release();
 
     /// \brief The host to call in order to learn whether the holder lives; empty: none.
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -172,6 +172,10 @@
             logInfo("quota_lease_missed", {{"range", range}, {"reason", errorOf(outcome).reason}});
             return;
         }
+        if (m_isStopping) {
+            release(range);
+            return;
+        }
         m_leases[quotaLeaseName(range)] = valueOf(outcome);
         m_ranges[range].ledger.reset();
         if (const auto from = keeper.grantsFrom())
@@ -201,12 +205,17 @@
     m_isStopping = true;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         m_ranges[i].ledger.reset();
-        const auto lease = m_ranges[i].keeper->release();
-        if (lease && m_isActive)
-            m_store.write(quotaLeaseName(i), *lease, [](const Outcome<Lease> &) {});
+        release(i);
     }
 }
 
+void QuotaService::release(std::size_t range)
+{
+    const auto lease = m_ranges[range].keeper->release();
+    if (lease && m_isActive)
+        m_store.write(quotaLeaseName(range), *lease, [](const Outcome<Lease> &) {});
+}
+
 std::vector<std::string> QuotaService::candidates(std::size_t range, TimePoint now) const
 {
     std::vector<std::string> names;
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -69,6 +69,7 @@
     void tick(TimePoint now);
     void onLeases(const LeaseTable &leases, std::uint64_t revision);
     void write(std::size_t range, const Lease &lease);
+    void release(std::size_t range);
     void logHolder(std::size_t range);
     /// \brief True if this process holds a lease.
     bool isHolder() const;
--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -73,6 +73,21 @@
     EXPECT_TRUE(last.beginWrite(start + 1s + m_rules.turn));
 }
 
+// Candidates reach a process that is stopping, so they would wait for its end.
+TEST_F(LeaseKeeperTest, aWriteThatTakesEffectAfterTheReleaseIsReleasedToo)
+{
+    m_keeper.onLease(std::nullopt, 1, start);
+    const auto written = m_keeper.beginWrite(start);
+    ASSERT_TRUE(written);
+    EXPECT_FALSE(m_keeper.release());
+    Lease own = *written;
+    own.revision = 2;
+    m_keeper.onWritten(own, start + 1s);
+    const auto released = m_keeper.release();
+    ASSERT_TRUE(released);
+    EXPECT_EQ(*released, (Lease{"", "", 2, 2}));
+}
+
 // Two candidates that reach the store and the third one, but not each other, must not take a lease
 // from each other again and again: each change costs the wait, so that none of them would grant.
 TEST_F(LeaseKeeperTest, aHolderThatWasReplacedDoesNotChallengeItsSuccessorForSilence)
