--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -33,12 +33,15 @@
 
 std::optional<std::size_t> LeaseKeeper::turn() const
 {
-    const auto self = std::find(m_candidates.begin(), m_candidates.end(), m_self.host);
-    if (self == m_candidates.end())
-        return std::nullopt;
-    const std::size_t count = m_candidates.size();
-    const auto position = static_cast<std::size_t>(self - m_candidates.begin());
-    return (position + count - m_preference % count) % count;
+    std::size_t ahead = 0;
+    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+        const std::string &candidate = m_candidates[(m_preference + i) % m_candidates.size()];
+        if (candidate == m_self.host)
+            return ahead;
+        if (candidate != m_releasedBy)
+            ++ahead;
+    }
+    return std::nullopt;
 }
 
 void LeaseKeeper::onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now)
@@ -49,6 +52,8 @@
     const Lease newest = lease.value_or(Lease{});
     const bool hasChanged = !m_isKnown || newest.holder != m_lease.holder
         || newest.incarnation != m_lease.incarnation;
+    const std::string formerHolder = m_lease.holder;
+    const bool isReplaced = isOwn(m_lease) && !newest.holder.empty();
     m_isKnown = true;
     m_isFirstEver = !lease && storeEraOf(revision) == 0;
     m_lease = newest;
@@ -56,18 +61,23 @@
         m_grantsFrom.reset();
     if (!hasChanged)
         return;
-    m_vacantSince = now;
+    m_changedAt = now;
+    m_replacedAt = isReplaced ? std::optional(now) : std::nullopt;
+    m_releasedBy = isVacant() ? formerHolder : std::string();
     m_silentSince.reset();
     m_hasHolderEnded = false;
 }
 
-void LeaseKeeper::onProbe(const std::string &host, ProbeResult result, TimePoint now)
+void LeaseKeeper::onProbe(const std::string &host, ProbeResult result, TimePoint calledAt,
+                          TimePoint now)
 {
     if (host != m_lease.holder) {
         if (result == ProbeResult::Reached)
             m_reachedOtherAt = now;
         return;
     }
+    if (calledAt < m_changedAt)
+        return;
     switch (result) {
     case ProbeResult::Reached:
         m_silentSince.reset();
@@ -83,14 +93,19 @@
 
 bool LeaseKeeper::isTakeoverDue(TimePoint now) const
 {
+    // The write took effect, but its reply was lost.
+    if (isOwn(m_lease))
+        return true;
     const auto ownTurn = turn();
     if (!ownTurn)
         return false;
     const auto wait = static_cast<std::int64_t>(*ownTurn) * m_rules.turn;
     if (isVacant())
-        return now >= m_vacantSince + wait;
+        return now >= m_changedAt + wait;
     if (m_lease.holder == m_self.host || m_hasHolderEnded)
         return true;
+    if (m_replacedAt && now - *m_replacedAt < m_rules.replacedPause)
+        return false;
     // A process that is cut off itself must not take the lease from a holder that others reach.
     const bool reachesOthers
         = m_candidates.size() < 3 || now - m_reachedOtherAt <= m_rules.silenceLimit;
@@ -118,9 +133,14 @@
 void LeaseKeeper::onWritten(const std::optional<Lease> &lease, TimePoint now)
 {
     m_isWriting = false;
-    if (!lease || m_isReleased)
+    if (!lease)
+        return;
+    // The watch may have reported a successor before this reply arrived.
+    if (lease->revision < m_lease.revision)
         return;
     m_lease = *lease;
+    if (m_isReleased)
+        return;
     m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
 }
 
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -11,7 +11,7 @@
 /// \brief Result of a call to the holder of a lease.
 enum class ProbeResult {
     Reached,
-    NoReply,
+    NoReply, ///< or one that says that it has lost the store
     Ended ///< its process certainly no longer runs
 };
 
@@ -23,6 +23,10 @@
     /// of the store. Only a holder that is lost without a trace makes its successor wait.
     Duration proofLimit = std::chrono::seconds(10);
     Duration silenceLimit = std::chrono::seconds(1); ///< without a reply until a challenge
+    /// Time for which a holder that was replaced leaves a silent successor to the other candidates.
+    /// If only the link between the two is down, they would replace each other without end, and
+    /// each change costs the wait. Three times that, so that one of them grants most of the time.
+    Duration replacedPause = std::chrono::seconds(30);
     Duration turn = std::chrono::seconds(2); ///< between two candidates for a vacant lease
 };
 
@@ -46,19 +50,23 @@
     void setCandidates(std::vector<std::string> candidates);
     /// \brief The store holds \a lease, or none, as of \a revision.
     void onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now);
-    /// \brief Records a call to \a host.
-    void onProbe(const std::string &host, ProbeResult result, TimePoint now);
+    /// \brief Records a call to \a host that was made at \a calledAt. A call from before the
+    /// present holder was known proves nothing about it.
+    void onProbe(const std::string &host, ProbeResult result, TimePoint calledAt, TimePoint now);
     /// \brief The lease to write now; nullopt if none. The write is in progress until onWritten().
     std::optional<Lease> beginWrite(TimePoint now);
     /// \brief The write ended; \a lease is set if it took effect.
     void onWritten(const std::optional<Lease> &lease, TimePoint now);
-    /// \brief Stops granting for good; returns the lease to write, if this process holds it.
+    /// \brief Stops granting for good; returns the lease to write, if this process holds it. To be
+    /// repeated after a write that was in progress.
     std::optional<Lease> release();
 
     /// \brief The host to call in order to learn whether the holder lives; empty: none.
     std::string hostToProbe() const;
     /// \brief Name of the host that holds the lease; empty if unknown.
     const std::string &holder() const { return m_lease.holder; }
+    /// \brief True if this process holds the lease, whether or not it may grant.
+    bool isHolder() const { return !m_isReleased && isOwn(m_lease); }
     /// \brief When this process may begin to grant under its present lease; nullopt if it holds
     /// none.
     std::optional<TimePoint> grantsFrom() const { return m_grantsFrom; }
@@ -82,7 +90,9 @@
     bool m_isKnown = false; ///< the store has been read
     bool m_isFirstEver = false; ///< the store has never had this lease
     Lease m_lease; ///< newest known; empty if there is none
-    TimePoint m_vacantSince;
+    TimePoint m_changedAt; ///< when the present holder, or the lack of one, became known
+    std::string m_releasedBy; ///< holder that has given the lease up, while nobody has taken it
+    std::optional<TimePoint> m_replacedAt; ///< set if the present holder replaced this process
     std::optional<TimePoint> m_silentSince; ///< first call to the holder without a reply
     bool m_hasHolderEnded = false;
     TimePoint m_reachedOtherAt; ///< last reply of a host that is not the holder
--- a/src/gateway/quota/QuotaClient.cpp
+++ b/src/gateway/quota/QuotaClient.cpp
@@ -42,7 +42,7 @@
     , m_service(service)
     , m_peers(peers)
     , m_metrics(metrics)
-    , m_rights(options.rules, options.self.name)
+    , m_rights(options.rules, options.self.name, Clock::now())
 { }
 
 void QuotaClient::onMembers(const std::vector<FleetMember> &members)
@@ -138,6 +138,11 @@
             reason = "no_lease";
             break;
         }
+        // Concerns only this team, so the coordinator is asked for the others of the range.
+        if (reply.outcome() == wire::QuotaReply::NOT_FILLED) {
+            handler(decideAlone(team, "not_filled"));
+            co_return;
+        }
         const QuotaDecision decision = decisionOf(reply);
         count(decision.outcome == QuotaOutcome::Granted ? "granted" : "over_limit");
         handler(decision);
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds tickInterval{100};
 constexpr Milliseconds probeInterval{400};
 constexpr Milliseconds probeTimeout{300}; ///< above the time that a busy small host needs
+/// Above the age of a proof while the store answers: a watch of 2 s and its margin. A process with
+/// an older one has lost the store, like perhaps all others, and does not judge them by that.
+constexpr Milliseconds recentProofAge{3000};
 const std::string probeId = "quota-probe";
 
 } // namespace
@@ -67,7 +70,8 @@
         names.push_back(member.name);
     const bool isCandidate
         = std::find(names.begin(), names.end(), m_options.self.name) != names.end();
-    const bool isWatching = m_isActive && isCandidate && !m_isStopping;
+    // A holder that others reach is not challenged, so it follows its lease until it is replaced.
+    const bool isWatching = m_isActive && (isCandidate || isHolder()) && !m_isStopping;
     if (isWatching != std::exchange(m_isWatching, isWatching)) {
         if (isWatching)
             m_store.startWatching([this](const LeaseTable &leases, std::uint64_t revision) {
@@ -130,10 +134,16 @@
     }
     m_probedHosts.erase(host);
     const TimePoint now = Clock::now();
+    const bool hasLostStore = isOk(reply) && valueOf(reply).outcome() == wire::QuotaReply::UNKNOWN
+        && now - m_store.provenAt() <= recentProofAge;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
-        const bool hasEnded
-            = isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation());
-        m_ranges[i].keeper->onProbe(host, hasEnded ? ProbeResult::Ended : result, now);
+        LeaseKeeper &keeper = *m_ranges[i].keeper;
+        ProbeResult rangeResult = result;
+        if (isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation()))
+            rangeResult = ProbeResult::Ended;
+        else if (hasLostStore && keeper.holder() == host)
+            rangeResult = ProbeResult::NoReply;
+        keeper.onProbe(host, rangeResult, sentAt, now);
     }
 }
 
@@ -162,6 +172,10 @@
             logInfo("quota_lease_missed", {{"range", range}, {"reason", errorOf(outcome).reason}});
             return;
         }
+        if (m_isStopping) {
+            release(range);
+            return;
+        }
         m_leases[quotaLeaseName(range)] = valueOf(outcome);
         m_ranges[range].ledger.reset();
         if (const auto from = keeper.grantsFrom())
@@ -191,12 +205,17 @@
     m_isStopping = true;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         m_ranges[i].ledger.reset();
-        const auto lease = m_ranges[i].keeper->release();
-        if (lease && m_isActive)
-            m_store.write(quotaLeaseName(i), *lease, [](const Outcome<Lease> &) {});
+        release(i);
     }
 }
 
+void QuotaService::release(std::size_t range)
+{
+    const auto lease = m_ranges[range].keeper->release();
+    if (lease && m_isActive)
+        m_store.write(quotaLeaseName(range), *lease, [](const Outcome<Lease> &) {});
+}
+
 std::vector<std::string> QuotaService::candidates(std::size_t range, TimePoint now) const
 {
     std::vector<std::string> names;
@@ -214,14 +233,28 @@
         spawn(m_executor, probe(host));
 }
 
+bool QuotaService::isHolder() const
+{
+    return std::any_of(m_ranges.begin(), m_ranges.end(),
+                       [](const Range &range) { return range.keeper->isHolder(); });
+}
+
+bool QuotaService::isLosingProof(TimePoint now) const
+{
+    return isHolder() && now - m_store.provenAt() > m_options.leases.proofLimit / 2;
+}
+
 wire::QuotaReply QuotaService::handle(const wire::QuotaRequest &request)
 {
     wire::QuotaReply reply;
     reply.set_incarnation(m_options.incarnation);
     reply.set_outcome(wire::QuotaReply::UNKNOWN);
-    if (request.team().empty())
-        return reply;
     const TimePoint now = Clock::now();
+    if (request.team().empty()) {
+        if (!isLosingProof(now))
+            reply.set_outcome(wire::QuotaReply::GRANTED);
+        return reply;
+    }
     Range &range = m_ranges[quotaRangeOf(request.team())];
     if (!range.ledger) {
         reply.set_outcome(wire::QuotaReply::NOT_HOLDER);
@@ -238,6 +271,8 @@
         reply.set_outcome(wire::QuotaReply::GRANTED);
     else if (decision.outcome == QuotaOutcome::OverLimit)
         reply.set_outcome(wire::QuotaReply::OVER_LIMIT);
+    else
+        reply.set_outcome(wire::QuotaReply::NOT_FILLED);
     return reply;
 }
 
