Keep sessions to the candidates for coordinators open

Cause: most requests of a host to a coordinator were the first on their session and waited for a connect, and a candidate that was lost was noticed by requests. Change: each process calls the candidates every 5 s while a team has a quota; an unfilled bucket no longer counts as a silent coordinator.

--- a/src/gateway/quota/QuotaClient.cpp
+++ b/src/gateway/quota/QuotaClient.cpp
@@ -140,7 +140,7 @@
         }
         // Concerns only this team, so the coordinator is asked for the others of the range.
         if (reply.outcome() == wire::QuotaReply::NOT_FILLED) {
-            handler(decideAlone(team, "not_filled"));
+            handler(unknown("not_filled"));
             co_return;
         }
         const QuotaDecision decision = decisionOf(reply);
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -14,6 +14,9 @@
 /// Between two looks at the leases; a fraction of the silence after which one is challenged.
 constexpr Milliseconds tickInterval{100};
 constexpr Milliseconds probeInterval{400};
+/// Between two calls to each candidate. They keep a session open, so that requests need not wait
+/// for a connect, and find out about a candidate that is lost.
+constexpr Milliseconds sessionCheckInterval{5000};
 constexpr Milliseconds probeTimeout{300}; ///< above the time that a busy small host needs
 /// Above the age of a proof while the store answers: a watch of 2 s and its margin. A process with
 /// an older one has lost the store, like perhaps all others, and does not judge them by that.
@@ -80,6 +83,13 @@
         else
             m_store.stopWatching();
     }
+    if (m_isActive && now >= m_nextSessionCheck) {
+        m_nextSessionCheck = now + sessionCheckInterval;
+        for (const std::string &name : names) {
+            if (name != m_options.self.name)
+                checkHost(name);
+        }
+    }
     if (!isWatching)
         return;
     const bool isProbeDue = now - m_probedAt >= probeInterval;
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -93,6 +93,7 @@
     bool m_isStopping = false;
     std::set<std::string> m_probedHosts; ///< with a probe in progress
     TimePoint m_probedAt;
+    TimePoint m_nextSessionCheck;
 };
 
 } // namespace gwt
