Let a holder without proof yield its leases

Change: a holder that is about to lose its proof stops granting when a candidate with a recent proof calls it, and the candidate takes the lease without the wait; the proof limit is 8 s. Changed tests: the scripted holder of QuotaServiceChallengeTest yields to such a call, and LeaseKeeperTest names the limit.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -51,7 +51,7 @@
         return;
     const Lease newest = lease.value_or(Lease{});
     const bool hasChanged = !m_isKnown || newest.holder != m_lease.holder
-        || newest.incarnation != m_lease.incarnation;
+        || newest.incarnation != m_lease.incarnation || newest.term != m_lease.term;
     const std::string formerHolder = m_lease.holder;
     const bool isReplaced = isOwn(m_lease) && !newest.holder.empty();
     m_isKnown = true;
@@ -66,6 +66,7 @@
     m_releasedBy = isVacant() ? formerHolder : std::string();
     m_silentSince.reset();
     m_hasHolderEnded = false;
+    m_hasYielded = false;
 }
 
 void LeaseKeeper::onProbe(const std::string &host, ProbeResult result, TimePoint calledAt,
@@ -118,7 +119,7 @@
         return m_lease.revision == 0 && !m_isFirstEver;
     const bool isFormerProcess
         = m_lease.holder == m_self.host && m_lease.incarnation != m_self.incarnation;
-    return !m_hasHolderEnded && !isFormerProcess;
+    return !m_hasHolderEnded && !isFormerProcess && !(isOwn(m_lease) && m_hasYielded);
 }
 
 std::optional<Lease> LeaseKeeper::beginWrite(TimePoint now)
@@ -141,9 +142,18 @@
     m_lease = *lease;
     if (m_isReleased)
         return;
+    m_hasYielded = false;
     m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
 }
 
+void LeaseKeeper::yield()
+{
+    if (!m_grantsFrom)
+        return;
+    m_grantsFrom.reset();
+    m_hasYielded = true;
+}
+
 std::optional<Lease> LeaseKeeper::release()
 {
     m_isReleased = true;
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -11,8 +11,8 @@
 /// \brief Result of a call to the holder of a lease.
 enum class ProbeResult {
     Reached,
-    NoReply, ///< or one that says that it has lost the store
-    Ended ///< its process certainly no longer runs
+    NoReply,
+    Ended ///< its process certainly no longer grants under its present term
 };
 
 /// \brief Timing of leases.
@@ -21,7 +21,7 @@
     /// A holder without a proof of its lease that is more recent than this grants nothing, and a
     /// new holder waits so long: then at most one of them grants at any time. Covers most outages
     /// of the store. Only a holder that is lost without a trace makes its successor wait.
-    Duration proofLimit = std::chrono::seconds(10);
+    Duration proofLimit = std::chrono::seconds(8);
     Duration silenceLimit = std::chrono::seconds(1); ///< without a reply until a challenge
     /// Time for which a holder that was replaced leaves a silent successor to the other candidates.
     /// If only the link between the two is down, they would replace each other without end, and
@@ -61,6 +61,10 @@
     /// repeated after a write that was in progress.
     std::optional<Lease> release();
 
+    /// \brief Stops granting under the present term, so that another process need not wait to take
+    /// the lease. This process takes it back if none does.
+    void yield();
+
     /// \brief The host to call in order to learn whether the holder lives; empty: none.
     std::string hostToProbe() const;
     /// \brief Name of the host that holds the lease; empty if unknown.
@@ -100,6 +104,7 @@
     bool m_needsWait = true; ///< of the write in progress
     std::optional<TimePoint> m_grantsFrom;
     bool m_isReleased = false;
+    bool m_hasYielded = false; ///< under the present term
 };
 
 } // namespace gwt
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -18,9 +18,11 @@
 /// for a connect, and find out about a candidate that is lost.
 constexpr Milliseconds sessionCheckInterval{5000};
 constexpr Milliseconds probeTimeout{300}; ///< above the time that a busy small host needs
-/// Above the age of a proof while the store answers: a watch of 2 s and its margin. A process with
-/// an older one has lost the store, like perhaps all others, and does not judge them by that.
-constexpr Milliseconds recentProofAge{3000};
+/// Above the age of a proof while the store answers: two watches of 2 s each. A process with an
+/// older one has lost the store, perhaps like all others, and takes no lease over.
+constexpr Milliseconds recentProofAge{4500};
+/// Age of its proof from which a holder lets a process that can prove the leases take over.
+constexpr Milliseconds losingProofAge{5000};
 const std::string probeId = "quota-probe";
 
 } // namespace
@@ -130,7 +132,8 @@
     }
     const Endpoint remote = address->second;
     const TimePoint sentAt = Clock::now();
-    const wire::QuotaRequest request;
+    wire::QuotaRequest request;
+    request.set_takes_over(m_isWatching && sentAt - m_store.provenAt() <= recentProofAge);
     const CancelToken cancel;
     const auto reply = co_await callPeer<wire::QuotaReply>(m_peers, remote, s_path, request,
                                                            probeId, sentAt + probeTimeout, cancel);
@@ -144,15 +147,14 @@
     }
     m_probedHosts.erase(host);
     const TimePoint now = Clock::now();
-    const bool hasLostStore = isOk(reply) && valueOf(reply).outcome() == wire::QuotaReply::UNKNOWN
-        && now - m_store.provenAt() <= recentProofAge;
+    const bool hasYielded = isOk(reply) && valueOf(reply).outcome() == wire::QuotaReply::YIELDED;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         LeaseKeeper &keeper = *m_ranges[i].keeper;
         ProbeResult rangeResult = result;
         if (isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation()))
             rangeResult = ProbeResult::Ended;
-        else if (hasLostStore && keeper.holder() == host)
-            rangeResult = ProbeResult::NoReply;
+        else if (hasYielded && keeper.holder() == host)
+            rangeResult = ProbeResult::Ended;
         keeper.onProbe(host, rangeResult, sentAt, now);
     }
 }
@@ -251,7 +253,7 @@
 
 bool QuotaService::isLosingProof(TimePoint now) const
 {
-    return isHolder() && now - m_store.provenAt() > m_options.leases.proofLimit / 2;
+    return isHolder() && now - m_store.provenAt() > losingProofAge;
 }
 
 wire::QuotaReply QuotaService::handle(const wire::QuotaRequest &request)
@@ -261,8 +263,14 @@
     reply.set_outcome(wire::QuotaReply::UNKNOWN);
     const TimePoint now = Clock::now();
     if (request.team().empty()) {
-        if (!isLosingProof(now))
+        const bool isLosing = isLosingProof(now);
+        if (isLosing && request.takes_over()) {
+            for (Range &range : m_ranges)
+                range.keeper->yield();
+            reply.set_outcome(wire::QuotaReply::YIELDED);
+        } else if (!isLosing) {
             reply.set_outcome(wire::QuotaReply::GRANTED);
+        }
         return reply;
     }
     Range &range = m_ranges[quotaRangeOf(request.team())];
