--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -41,6 +41,34 @@
     EXPECT_EQ(m_keeper.holder(), "b");
 }
 
+// A holder that was silent for a moment, or only for a process that is cut off itself, must not be
+// replaced: its range would have no coordinator for the wait.
+TEST_F(LeaseKeeperTest, onlyALongSilenceThatOthersDoNotShareIsChallenged)
+{
+    learn("b", 2, start);
+    m_keeper.onProbe("b", ProbeResult::NoReply, start, start);
+    m_keeper.onProbe("c", ProbeResult::Reached, start, start);
+    EXPECT_FALSE(m_keeper.beginWrite(start + 900ms));
+    EXPECT_FALSE(m_keeper.beginWrite(start + 2s));
+    m_keeper.onProbe("c", ProbeResult::Reached, start + 2s, start + 2s);
+    EXPECT_TRUE(m_keeper.beginWrite(start + 2s));
+}
+
+// The former holder may grant until its proof is too old.
+TEST_F(LeaseKeeperTest, aSuccessorWaitsUntilTheProofOfTheFormerHolderIsTooOld)
+{
+    learn("b", 2, start);
+    m_keeper.onProbe("b", ProbeResult::NoReply, start, start);
+    const TimePoint now = start + 1s;
+    m_keeper.onProbe("c", ProbeResult::Reached, now, now);
+    ASSERT_TRUE(m_keeper.beginWrite(now));
+    m_keeper.onWritten(Lease{"a", "a-1", 3, 3}, now);
+    const TimePoint waited = now + m_rules.proofLimit;
+    EXPECT_FALSE(m_keeper.mayGrant(waited - 1ms, waited - 1ms));
+    EXPECT_TRUE(m_keeper.mayGrant(waited, waited));
+    EXPECT_FALSE(m_keeper.mayGrant(waited, waited + m_rules.proofLimit + 1ms));
+}
+
 // Others do not challenge a holder that they reach, so it must grant in the end.
 TEST_F(LeaseKeeperTest, aLeaseWhoseWriteGotNoReplyIsTakenAgainAlsoByANonCandidate)
 {
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -309,6 +309,23 @@
                                          LimitCase{"raised", 6, 40, 19}),
                          [](const auto &info) { return info.param.name; });
 
+// What a predecessor has granted in the window is unknown, so a new coordinator that began with a
+// full bucket would exceed the quota of a team that had been idle before.
+TEST(QuotaLedgerTest, aNewBucketIsEmptyAndHoldsTheBurstAndHalfOfTheTolerance)
+{
+    const TeamQuota quota{5, 6};
+    const auto grantedAt = [&](Duration age) {
+        QuotaLedger ledger(rules, start);
+        int granted = 0;
+        while (ledger.take("t", quota, 1, start + age).outcome == QuotaOutcome::Granted)
+            ++granted;
+        return granted;
+    };
+    EXPECT_EQ(grantedAt(0s), 0);
+    EXPECT_EQ(grantedAt(2s), 10);
+    EXPECT_EQ(grantedAt(1min), static_cast<int>(quota.burst + 0.5 * rules.toleranceOf(quota)));
+}
+
 // Fair sharing relies on the excess of a team that sends many times its usual rate.
 TEST(QuotaLedgerTest, reportsTheExcessOfATeamOverItsUsualRate)
 {
--- a/test/TeamKeyTest.cpp
+++ b/test/TeamKeyTest.cpp
@@ -210,6 +210,44 @@
                                                    200, 1}),
                          [](const auto &info) { return info.param.name; });
 
+/// Keeps the requests without a decision.
+class PendingQuota : public QuotaGate
+{
+public:
+    void acquire(const Team &, TimePoint, Handler handler) override
+    {
+        m_handlers.push_back(std::move(handler));
+    }
+    const std::vector<Handler> &handlers() const { return m_handlers; }
+
+private:
+    std::vector<Handler> m_handlers;
+};
+
+// Nobody would get the result, and the caller may have sent the request again.
+TEST_F(TeamKeyTest, theRequestOfACallerThatLeftDuringTheCheckIsNotSent)
+{
+    PendingQuota quota;
+    GatewayCore core(m_context, m_timers, m_options, m_headerNames, m_metrics, &quota);
+    CallerServer callers(m_context,
+                         CallerContext{m_timers, core, m_metrics, core.limits(), m_headerNames});
+    m_gatewayEndpoint = valueOf(callers.listen({"127.0.0.1", 0}));
+    m_config.teams[0].quota = {5, 1};
+    start();
+    core.onConfig(m_config);
+    core.onBackends(m_entries);
+    auto caller = connectRaw();
+    boost::asio::write(caller,
+                       boost::asio::buffer(request("/one/1", "Authorization: Bearer k1\r\n")));
+    ASSERT_TRUE(runUntil(m_context, [&] { return quota.handlers().size() == 1; }));
+    caller.close();
+    runFor(20ms);
+    quota.handlers()[0]({});
+    runFor(20ms);
+    EXPECT_TRUE(m_servers[0]->requests().empty());
+    runUntil(m_context, [&] { return core.openAttempts() == 0; });
+}
+
 // A caller that takes its time to send a body must not make the coordinator seem silent, because
 // this host then refuses the requests of other teams.
 TEST_F(TeamKeyTest, aSlowBodyLeavesTheWholeTimeToCheckTheQuota)
