Ask the next candidate when a coordinator cannot grant

Cause: a holder that had yielded kept its buckets, so that callers came back to it, and it tried to write its lease every 100 ms while the store refused it.

--- a/src/gateway/quota/QuotaClient.cpp
+++ b/src/gateway/quota/QuotaClient.cpp
@@ -136,7 +136,8 @@
         coordinator.host = host;
         if (reply.outcome() == wire::QuotaReply::UNKNOWN) {
             reason = "no_lease";
-            break;
+            coordinator.host.clear();
+            continue;
         }
         // Concerns only this team, so the coordinator is asked for the others of the range.
         if (reply.outcome() == wire::QuotaReply::NOT_FILLED) {
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -70,6 +70,8 @@
 
 void QuotaService::tick(TimePoint now)
 {
+    if (!m_isActive && !m_isWatching)
+        return;
     std::vector<std::string> names;
     for (const FleetMember &member : m_tree.watchers(now))
         names.push_back(member.name);
@@ -103,7 +105,9 @@
         keeper.setCandidates(names);
         if (isProbeDue && !keeper.hostToProbe().empty())
             hosts.insert(keeper.hostToProbe());
-        if (const auto lease = keeper.beginWrite(now))
+        // Without contact to the store a write would only fail, again and again.
+        const bool reachesStore = now - m_store.provenAt() <= recentProofAge;
+        if (const auto lease = reachesStore ? keeper.beginWrite(now) : std::nullopt)
             write(i, *lease);
     }
     if (isProbeDue) {
@@ -265,8 +269,10 @@
     if (request.team().empty()) {
         const bool isLosing = isLosingProof(now);
         if (isLosing && request.takes_over()) {
-            for (Range &range : m_ranges)
+            for (Range &range : m_ranges) {
                 range.keeper->yield();
+                range.ledger.reset();
+            }
             reply.set_outcome(wire::QuotaReply::YIELDED);
         } else if (!isLosing) {
             reply.set_outcome(wire::QuotaReply::GRANTED);
@@ -276,7 +282,8 @@
     Range &range = m_ranges[quotaRangeOf(request.team())];
     if (!range.ledger) {
         reply.set_outcome(wire::QuotaReply::NOT_HOLDER);
-        reply.set_holder(range.keeper->holder());
+        if (range.keeper->holder() != m_options.self.name)
+            reply.set_holder(range.keeper->holder());
         return reply;
     }
     if (!range.keeper->mayGrant(m_store.provenAt(), now))
