Hold a team that floods to its usual rate while capacity is scarce

Within a rank, admission was first come, first served, so a team at 7.5 times its usual rate took 7 to 8 times the room of each other team. The excess that the coordinator of its quota reports is now a weight: while admission is bounded, or a rank has used half of its limit on unanswered queries, one in `excess` queries of such a team competes with the others, at least a quarter of the part of the whole rank. Ranks share the capacity by their demand after that, and what is left goes to the thinned queries.

--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -70,7 +70,8 @@
     }
     const Duration typicalLatency
         = m_context.hedges.typicalLatency(m_plan.route->name, m_plan.route->target);
-    if (!m_context.admission.admit(*m_plan.route, m_plan.rank, typicalLatency, now)) {
+    if (!m_context.admission.admit(*m_plan.route, m_plan.rank, m_plan.excess, typicalLatency,
+                                   now)) {
         refuse("overloaded", reachable);
         return;
     }
--- a/src/gateway/policy/AdaptiveAdmission.cpp
+++ b/src/gateway/policy/AdaptiveAdmission.cpp
@@ -5,18 +5,21 @@
 
 namespace gwt {
 
-AdaptiveAdmission::AdaptiveAdmission(AdaptiveAdmissionRules rules)
+AdaptiveAdmission::AdaptiveAdmission(AdaptiveAdmissionRules rules, const RandomEngine &random)
     : m_rules(rules)
+    , m_random(random)
 { }
 
-bool AdaptiveAdmission::admit(int rank, Duration work, TimePoint now)
+bool AdaptiveAdmission::admit(int rank, Duration work, double excess, TimePoint now)
 {
     adapt(now);
     RankLoad &load = m_ranks[rank];
     const double seconds = std::chrono::duration<double>(work).count();
     load.offered += seconds;
+    load.fairOffered += seconds * usualPart(load, excess);
+    load.plainOffered += excess > 1 ? 0 : seconds;
     m_queryWork = seconds;
-    if (!isBelowUnansweredLimit(load))
+    if (load.unanswered >= unansweredLimit(load) || !passesThinning(load, excess))
         return false;
     load.credit = std::min(load.credit + load.share, 1.0);
     if (load.credit < 1)
@@ -27,12 +30,34 @@
     return true;
 }
 
-bool AdaptiveAdmission::isBelowUnansweredLimit(const RankLoad &load) const
+double AdaptiveAdmission::usualPart(const RankLoad &load, double excess) const
+{
+    // Of the whole rank, fairPart x share is admitted, and of a team the part that remains after
+    // thinning x share.
+    return excess > 1 ? std::max(1 / excess, m_rules.minTeamShare * load.fairPart) : 1;
+}
+
+bool AdaptiveAdmission::passesThinning(const RankLoad &load, double excess)
+{
+    if (excess <= 1 || !isScarce(load))
+        return true;
+    // A count instead of a random choice could refuse the same team each time if several take
+    // turns.
+    const double part = std::min(1.0, load.thinningFactor * usualPart(load, excess));
+    return std::bernoulli_distribution(part)(m_random);
+}
+
+double AdaptiveAdmission::unansweredLimit(const RankLoad &load) const
 {
     // By Little's law the normal rate, in seconds of work per second, is the number of queries in
     // progress.
-    return load.unanswered
-        < std::max<double>(m_rules.minUnansweredLimit, m_rules.unansweredFactor * load.normalRate);
+    return std::max<double>(m_rules.minUnansweredLimit, m_rules.unansweredFactor * load.normalRate);
+}
+
+bool AdaptiveAdmission::isScarce(const RankLoad &load) const
+{
+    // The limit on unanswered queries can hold a moderate flood at a pressure below 1.
+    return isBounded() || load.unanswered >= m_rules.scarceUnansweredShare * unansweredLimit(load);
 }
 
 void AdaptiveAdmission::record(int rank, std::optional<double> pressure, TimePoint admittedAt,
@@ -71,8 +96,12 @@
     m_intervalStart = now;
     for (auto &[rank, load] : m_ranks) {
         load.demand += m_rules.demandWeight * (load.offered / seconds - load.demand);
+        load.fairDemand += m_rules.demandWeight * (load.fairOffered / seconds - load.fairDemand);
+        load.plainDemand += m_rules.demandWeight * (load.plainOffered / seconds - load.plainDemand);
         load.admittedRate = load.admitted / seconds;
         load.offered = 0;
+        load.fairOffered = 0;
+        load.plainOffered = 0;
         load.admitted = 0;
     }
     adaptCapacity(now);
@@ -131,21 +160,46 @@
 }
 
 void AdaptiveAdmission::allocateCapacity()
+{
+    const double unused = allocateFairDemand();
+    for (auto &[rank, load] : m_ranks) {
+        load.thinningFactor = 1;
+        load.fairPart = load.demand > 0 ? std::min(1.0, load.fairDemand / load.demand) : 1;
+    }
+    if (isBounded())
+        allocateUnused(unused);
+}
+
+double AdaptiveAdmission::allocateFairDemand()
 {
     double reserved = 0; // guaranteed minimums of the ranks that are not allocated yet
     for (const auto &[rank, load] : m_ranks)
-        reserved += std::min(load.demand, m_rules.guaranteedShare * m_capacity);
+        reserved += std::min(load.fairDemand, m_rules.guaranteedShare * m_capacity);
     double remaining = m_capacity;
     for (auto &[rank, load] : m_ranks) {
-        if (!isBounded() || load.demand <= 0) {
+        if (!isBounded() || load.fairDemand <= 0) {
             load.share = 1;
             continue;
         }
-        const double guaranteed = std::min(load.demand, m_rules.guaranteedShare * m_capacity);
+        const double guaranteed = std::min(load.fairDemand, m_rules.guaranteedShare * m_capacity);
         reserved -= guaranteed;
-        const double allocated = std::max(guaranteed, std::min(load.demand, remaining - reserved));
+        const double allocated
+            = std::max(guaranteed, std::min(load.fairDemand, remaining - reserved));
         remaining -= allocated;
-        load.share = std::min(1.0, allocated / load.demand);
+        load.share = std::min(1.0, allocated / load.fairDemand);
+    }
+    return remaining;
+}
+
+void AdaptiveAdmission::allocateUnused(double unused)
+{
+    for (auto &[rank, load] : m_ranks) {
+        const double thinnedDemand = load.fairDemand - load.plainDemand;
+        if (unused <= 0 || thinnedDemand <= 0)
+            continue;
+        const double extra = std::min(unused, load.demand - load.fairDemand);
+        load.thinningFactor = 1 + std::max(0.0, extra) / thinnedDemand;
+        unused -= extra;
     }
 }
 
--- a/src/gateway/policy/AdaptiveAdmission.h
+++ b/src/gateway/policy/AdaptiveAdmission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/Random.h"
 #include "gateway/policy/AdmissionControl.h"
 
 #include <map>
@@ -21,7 +22,11 @@
     int minUnansweredLimit = 4; ///< minimum limit on the unanswered queries of a rank
     /// Limit on the unanswered queries of a rank, in multiples of its normal concurrency.
     double unansweredFactor = 6;
+    /// Share of that limit from which on teams with excess leave the rest to the others.
+    double scarceUnansweredShare = 0.5;
     double guaranteedShare = 0.12; ///< share of the capacity that is guaranteed to each rank
+    /// Share at which a team with excess is admitted at least, in relation to its whole rank.
+    double minTeamShare = 0.25;
     double demandWeight = 0.5; ///< weight of the last interval in the average demand
     double normalRateWeight = 0.1; ///< weight of the last interval in the average normal rate
 };
@@ -34,12 +39,18 @@
 /// Each rank has a guaranteed minimum, so that a flood of the most urgent rank doesn't starve the
 /// others; what a rank doesn't use goes to the others. A pause of single backend servers raises no
 /// pressure. Does no I/O.
+///
+/// Also handles one team flooding in within a rank: while capacity is scarce, the queries of a
+/// team with excess e are first thinned to one in e, which is its usual rate, and then compete with
+/// the others. docs/design/fairness.md has the reasons.
 class AdaptiveAdmission : public AdmissionControl
 {
 public:
-    explicit AdaptiveAdmission(AdaptiveAdmissionRules rules = {});
+    explicit AdaptiveAdmission(AdaptiveAdmissionRules rules = {},
+                               const RandomEngine &random = makeSeededEngine());
 
-    bool admit(int rank, Duration work, TimePoint now) override;
+    using AdmissionControl::admit;
+    bool admit(int rank, Duration work, double excess, TimePoint now) override;
     void record(int rank, std::optional<double> pressure, TimePoint admittedAt,
                 TimePoint now) override;
 
@@ -54,23 +65,40 @@
         double admitted = 0; ///< work admitted in the current interval, in seconds
         double admittedRate = 0; ///< work admitted per second in the last interval
         double demand = 0; ///< moving average of the work offered per second
-        double share = 1; ///< share of the queries to admit
+        double fairOffered = 0; ///< work offered in the current interval, after thinning
+        double fairDemand = 0; ///< moving average of it per second
+        double plainOffered = 0; ///< work of callers without excess in the current interval
+        double plainDemand = 0; ///< moving average of it per second
+        double share = 1; ///< share of the queries to admit, of those that remain after thinning
+        double fairPart = 1; ///< fair demand in relation to the demand
+        double thinningFactor = 1; ///< raises the part that remains while capacity is unused
         double credit = 0; ///< accumulated share; a query is admitted when it reaches one
         double normalRate = 0; ///< moving average of the work admitted per second without pressure
         int unanswered = 0; ///< admitted queries whose pressure is not recorded yet
     };
 
+    /// \brief Part of the queries of a team with \a excess that corresponds to its usual rate.
+    double usualPart(const RankLoad &load, double excess) const;
+    bool passesThinning(const RankLoad &load, double excess);
     void adapt(TimePoint now);
     void adaptCapacity(TimePoint now);
     void updateNormalRates();
-    bool isBelowUnansweredLimit(const RankLoad &load) const;
+    /// \brief Limit on the unanswered queries of the rank.
+    double unansweredLimit(const RankLoad &load) const;
+    /// \brief True while teams with excess are thinned.
+    bool isScarce(const RankLoad &load) const;
     double sum(double RankLoad::*field) const;
     void decreaseCapacity(double pressure, TimePoint now);
     /// \brief Capacity that admits enough queries to measure the pressure in each interval.
     double probingRate() const;
     void allocateCapacity();
+    /// \brief Returns the capacity that is left after the fair demand of all ranks.
+    double allocateFairDemand();
+    /// \brief Allocates \a unused, capacity that is left, to teams with excess.
+    void allocateUnused(double unused);
 
     const AdaptiveAdmissionRules m_rules;
+    RandomEngine m_random;
     std::map<int, RankLoad> m_ranks; ///< most urgent first
     double m_capacity = 0; ///< limit on the work admitted per second; 0 without a limit
     /// Time of the last decrease. Queries admitted before it measure the earlier load and are
--- a/src/gateway/policy/AdmissionControl.h
+++ b/src/gateway/policy/AdmissionControl.h
@@ -14,8 +14,11 @@
 
     /// \brief Returns true if a query of \a rank that takes \a work on each shard may start.
     ///
-    /// Rank 0 is the most urgent.
-    virtual bool admit(int rank, Duration work, TimePoint now) = 0;
+    /// Rank 0 is the most urgent. \a excess is the recent rate of the caller's team in relation to
+    /// its usual rate; 1 or less has no effect.
+    virtual bool admit(int rank, Duration work, double excess, TimePoint now) = 0;
+    /// \brief The same for a caller whose excess is unknown.
+    bool admit(int rank, Duration work, TimePoint now) { return admit(rank, work, 1, now); }
     /// \brief Records the pressure that a query of \a rank, admitted at \a admittedAt, measured.
     ///
     /// A pressure of 1 is the highest at which queries still meet their target. Empty if the caller
@@ -32,7 +35,8 @@
 class UnlimitedAdmission : public AdmissionControl
 {
 public:
-    bool admit(int, Duration, TimePoint) override { return true; }
+    using AdmissionControl::admit;
+    bool admit(int, Duration, double, TimePoint) override { return true; }
     void record(int, std::optional<double>, TimePoint, TimePoint) override { }
     double capacity() const override { return 0; }
 };
--- a/src/gateway/policy/AdmissionTable.cpp
+++ b/src/gateway/policy/AdmissionTable.cpp
@@ -60,14 +60,15 @@
         logInfo("admission_lifted", {{"first_shard", firstShard}});
 }
 
-bool AdmissionTable::admit(const Route &route, int rank, Duration typicalLatency, TimePoint now)
+bool AdmissionTable::admit(const Route &route, int rank, double excess, Duration typicalLatency,
+                           TimePoint now)
 {
     ShardSet &set = shardSet(route);
     Duration &work = m_work.try_emplace(route.name, typicalLatency).first->second;
     // Under pressure the time of a shard request includes queueing, which is no work.
     if (!set.control->isBounded())
         work = typicalLatency;
-    const bool isAdmitted = set.control->admit(rank, work, now);
+    const bool isAdmitted = set.control->admit(rank, work, excess, now);
     logLimitChange(shardSetKey(route), set);
     return isAdmitted;
 }
--- a/src/gateway/policy/AdmissionTable.h
+++ b/src/gateway/policy/AdmissionTable.h
@@ -35,8 +35,8 @@
     explicit AdmissionTable(Factory makeControl);
 
     /// \brief Returns true if a query of \a route, with \a rank, may start; a request to one of its
-    /// shards now typically takes \a typicalLatency.
-    bool admit(const Route &route, int rank, Duration typicalLatency, TimePoint now);
+    /// shards now typically takes \a typicalLatency. \a excess is that of the caller's team.
+    bool admit(const Route &route, int rank, double excess, Duration typicalLatency, TimePoint now);
     /// \brief True while callers that were refused on the shard set of \a route may still retry.
     bool hasRecentRefusals(const Route &route, TimePoint now) const;
     /// \brief Records that half of the shards of a query of \a route have answered by \a now.
--- a/test/TeamKeyTest.cpp
+++ b/test/TeamKeyTest.cpp
@@ -33,13 +33,18 @@
 class FixedQuota : public QuotaGate
 {
 public:
-    explicit FixedQuota(QuotaOutcome outcome)
+    explicit FixedQuota(QuotaOutcome outcome, double excess = 1)
         : m_outcome(outcome)
+        , m_excess(excess)
     { }
-    void acquire(const Team &, TimePoint, Handler handler) override { handler({m_outcome, 1}); }
+    void acquire(const Team &, TimePoint, Handler handler) override
+    {
+        handler({m_outcome, m_excess});
+    }
 
 private:
     QuotaOutcome m_outcome;
+    double m_excess;
 };
 
 class TeamKeyTest : public GatewayTest
@@ -203,5 +208,38 @@
                                                    200, 1}),
                          [](const auto &info) { return info.param.name; });
 
+// The excess that the coordinator reports has to reach the admission of queries. Of three queries
+// at once the third meets a rank half of whose unanswered queries are in use; one in four is
+// admitted.
+TEST_F(TeamKeyTest, theExcessOfATeamReachesAdmission)
+{
+    FixedQuota quota(QuotaOutcome::Granted, 1e6);
+    GatewayCore core(m_context, m_timers, m_options, m_headerNames, m_metrics, &quota);
+    CallerServer callers(m_context,
+                         CallerContext{m_timers, core, m_metrics, core.limits(), m_headerNames});
+    m_gatewayEndpoint = valueOf(callers.listen({"127.0.0.1", 0}));
+    m_config.teams[0].quota = {1000, 1};
+    start();
+    core.onConfig(m_config);
+    core.onBackends(m_entries);
+    int refused = 0;
+    constexpr int maxRounds = 20;
+    for (int round = 0; round < maxRounds && refused == 0; ++round) {
+        int answered = 0;
+        std::vector<std::shared_ptr<ClientConnection>> connections{connect(), connect(), connect()};
+        for (const auto &connection : connections) {
+            connection->exchange(request("/all/1", "Authorization: Bearer k1\r\n"), false, nullptr,
+                                 [&](Outcome<WireResponse> outcome) {
+                                     ++answered;
+                                     ASSERT_TRUE(isOk(outcome));
+                                     refused += valueOf(outcome).result_int() == 503 ? 1 : 0;
+                                 });
+        }
+        ASSERT_TRUE(runUntil(m_context, [&] { return answered == 3; }));
+    }
+    EXPECT_GT(refused, 0);
+    runUntil(m_context, [&] { return core.openAttempts() == 0; });
+}
+
 } // namespace
 } // namespace gwt::test
