Refuse queries whose callers leave too little time for an answer

A caller that has waited before may return with less time than a shard takes; its query was sent to all shards and failed at the deadline. Such a query is now refused with 503 too_late and Retry-After before anything is sent. The refusal does not count as overload.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -41,6 +41,7 @@
 #include "gateway/policy/AdmissionControl.h"
 #include "gateway/policy/AdmissionTable.h"
 #include "gateway/policy/CallerWaitEstimator.h"
+#include "gateway/policy/DeadlineCheck.h"
 #include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
 #include "gateway/policy/LogRateLimiter.h"
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -64,8 +64,8 @@
     , m_admission([] { return std::make_unique<AdaptiveAdmission>(); })
     , m_merge(recordBytes)
     , m_recorder(metrics)
-    , m_forwarding{timers,  m_backends,  m_hedges, m_delivery, m_admission,
-                   m_merge, headerNames, metrics,  m_recorder, m_fleetSize}
+    , m_forwarding{timers,  m_backends,  m_hedges, m_deadlines, m_delivery, m_admission,
+                   m_merge, headerNames, metrics,  m_recorder,  m_fleetSize}
     , m_quota(quota)
     , m_keyProofLimit(m_options.keyProofLimit)
 { }
@@ -88,6 +88,7 @@
     m_admission.retain(*m_routes);
     const std::set<std::string> routeNames = m_routes->routeNames();
     m_hedges.retain(routeNames);
+    m_deadlines.retain(routeNames);
     m_callerWaits.retain(routeNames);
     m_weightedSplit.retain(routeNames);
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -89,6 +89,7 @@
     HoldTracker m_holds;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
+    DeadlineCheck m_deadlines{m_hedges};
     DeliveryTime m_delivery;
     CallerWaitEstimator m_callerWaits;
     AdmissionTable m_admission;
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -5,6 +5,7 @@
 #include "gateway/forwarding/RecordMerge.h"
 #include "gateway/forwarding/RequestRecorder.h"
 #include "gateway/policy/AdmissionTable.h"
+#include "gateway/policy/DeadlineCheck.h"
 #include "gateway/policy/DeliveryTime.h"
 #include "gateway/policy/HedgeTimer.h"
 #include "gateway/policy/PartialAnswerPolicy.h"
@@ -17,6 +18,7 @@
     TimerQueue &timers;
     BackendFleet &backends;
     HedgeTimer &hedges;
+    DeadlineCheck &deadlines;
     DeliveryTime &delivery;
     AdmissionTable &admission;
     const RecordMerge &merge;
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -13,6 +13,7 @@
 /// Time for attempts in flight to finish after the caller has disconnected, as most do. Cancelling
 /// one closes its connection, which must then be opened again, so only longer ones are cancelled.
 constexpr Milliseconds cancelDelay{300};
+const std::string tooLateReason = "too_late";
 constexpr std::size_t maxLoggedShards = 4; ///< listed in a log line
 
 } // namespace
@@ -59,6 +60,10 @@
         refuse("shards_unreachable", reachable);
         return;
     }
+    if (m_context.deadlines.isTooLate(*m_plan.route, m_plan.deadline - now, now)) {
+        refuse(tooLateReason, reachable);
+        return;
+    }
     const auto self = shared_from_this();
     m_plan.exchange->onDisconnect([self] { self->onCallerDisconnected(); });
     m_plan.exchange->onStop([self] { self->endEarly(); });
@@ -143,6 +148,8 @@
     --m_pendingShards;
     m_mayHaveRun = m_mayHaveRun || reply.mayHaveRun;
     if (reply.isSuccess) {
+        if (m_parts.empty())
+            m_context.deadlines.recordAnswer(m_plan.route->name, Clock::now());
         const auto signature = (*reply.response)[m_context.headerNames.signature];
         m_parts.push_back({std::string(signature), std::move(reply.response->body())});
         if (2 * m_parts.size() >= m_plan.route->query.shards.size())
@@ -233,7 +240,9 @@
 {
     const TimePoint now = Clock::now();
     m_context.recorder.countReason(RequestEnd::Refused, reason);
-    m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
+    // A caller that comes too late says nothing about the load.
+    if (reason != tooLateReason)
+        m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
     if (m_context.recorder.record(RequestEnd::Refused, m_plan.rank, elapsed(), now)) {
         logInfo("query_refused",
                 {{"id", m_plan.request->id()},
--- a/src/gateway/policy/HedgeTimer.cpp
+++ b/src/gateway/policy/HedgeTimer.cpp
@@ -43,12 +43,17 @@
     return std::clamp(found->second.quantile(m_rules.quantile), earliest, latest);
 }
 
-Duration HedgeTimer::typicalLatency(const std::string &route, Duration target) const
+std::optional<Duration> HedgeTimer::knownLatency(const std::string &route, double q) const
 {
     const auto found = m_latencies.find(route);
     if (found == m_latencies.end() || found->second.samples() < m_rules.minSamples)
-        return shareOf(target, 0.1);
-    return found->second.quantile(0.5);
+        return std::nullopt;
+    return found->second.quantile(q);
+}
+
+Duration HedgeTimer::typicalLatency(const std::string &route, Duration target) const
+{
+    return knownLatency(route, 0.5).value_or(shareOf(target, 0.1));
 }
 
 void HedgeTimer::retain(const std::set<std::string> &routeNames)
--- a/src/gateway/policy/HedgeTimer.h
+++ b/src/gateway/policy/HedgeTimer.h
@@ -2,6 +2,7 @@
 
 #include "common/LatencyHistogram.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,9 @@
     /// \brief Median latency of \a route at one shard, or a tenth of \a target while there are few
     /// samples.
     Duration typicalLatency(const std::string &route, Duration target) const;
+    /// \brief Quantile \a q of the latencies of \a route at single shards; nullopt while there are
+    /// few samples.
+    std::optional<Duration> knownLatency(const std::string &route, double q) const;
     /// \brief Removes the samples of routes that \a routeNames does not contain.
     void retain(const std::set<std::string> &routeNames);
 
