Count requests by team and name the team in log lines

An operator could not see which team was served, refused or failed. The metric gwt_gateway_team_requests_total counts requests by team and end, for the teams of the configuration in force only: the counts of a removed team are removed, so that the number of label values stays bounded. Log lines about requests have the team, and its excess above 1, where the caller has a team.

--- a/src/common/Metrics.cpp
+++ b/src/common/Metrics.cpp
@@ -21,6 +21,14 @@
     return family->Add(labels);
 }
 
+void Metrics::removeCounter(const std::string &name, prometheus::Counter &counter)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto family = m_counters.find(name);
+    if (family != m_counters.end())
+        family->second->Remove(&counter);
+}
+
 prometheus::Gauge &Metrics::gauge(const std::string &name, const std::string &help,
                                   const MetricLabels &labels)
 {
--- a/src/common/Metrics.h
+++ b/src/common/Metrics.h
@@ -13,7 +13,8 @@
 
 using MetricLabels = std::map<std::string, std::string>;
 
-/// \brief Registry of the process's metrics. Returned references are valid as long as this object.
+/// \brief Registry of the process's metrics. Returned references are valid as long as this object,
+/// except those that removeCounter() takes.
 ///
 /// Thread-safe. Each lookup takes a lock, so hot paths store the reference.
 class Metrics
@@ -21,6 +22,8 @@
 public:
     prometheus::Counter &counter(const std::string &name, const std::string &help,
                                  const MetricLabels &labels = {});
+    /// \brief Removes \a counter of the metric \a name; references to it become invalid.
+    void removeCounter(const std::string &name, prometheus::Counter &counter);
     prometheus::Gauge &gauge(const std::string &name, const std::string &help,
                              const MetricLabels &labels = {});
     /// \brief A latency histogram in seconds with buckets from 0.5 ms to 30 s.
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -89,6 +89,7 @@
     const std::set<std::string> routeNames = m_routes->routeNames();
     m_hedges.retain(routeNames);
     m_deadlines.retain(routeNames);
+    m_recorder.setTeams(config.teams);
     m_callerWaits.retain(routeNames);
     m_weightedSplit.retain(routeNames);
 }
@@ -150,12 +151,13 @@
 }
 
 void GatewayCore::refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
-                         std::optional<Milliseconds> retryAfter, std::vector<LogField> details)
+                         std::optional<Milliseconds> retryAfter, const Team *team,
+                         std::vector<LogField> details)
 {
     constexpr int noRank = -1;
     const TimePoint now = Clock::now();
     m_recorder.countReason(RequestEnd::Refused, reason);
-    if (m_recorder.record(RequestEnd::Refused, noRank, now - exchange.arrivedAt(), now)) {
+    if (m_recorder.record(RequestEnd::Refused, noRank, team, now - exchange.arrivedAt(), now)) {
         const WireRequest &request = exchange.request();
         std::vector<LogField> fields{{"id", std::string(request.field(m_headerNames.requestId))},
                                      {"host", std::string(request.field("Host"))},
@@ -163,6 +165,8 @@
                                      {"reason", reason},
                                      {"status", status},
                                      {"version", configVersion()}};
+        if (team)
+            fields.emplace_back("team", team->name);
         fields.insert(fields.end(), details.begin(), details.end());
         logInfo("request_refused", fields);
     }
@@ -243,8 +247,7 @@
         return true;
     plan.rank = plan.team->rank.value_or(plan.rank);
     if (m_keyProofLimit && m_configAge && m_configAge() > *m_keyProofLimit) {
-        refuse(*plan.exchange, 503, "unproven_key", unknownQuotaRetryAfter,
-               {{"team", plan.team->name}});
+        refuse(*plan.exchange, 503, "unproven_key", unknownQuotaRetryAfter, plan.team);
         return false;
     }
     return true;
@@ -271,18 +274,17 @@
 void GatewayCore::onQuotaDecision(RequestPlan plan, const QuotaDecision &decision)
 {
     plan.excess = decision.excess;
-    const std::vector<LogField> details{{"team", plan.team->name},
-                                        {"range", quotaRangeOf(plan.team->name)},
+    const std::vector<LogField> details{{"range", quotaRangeOf(plan.team->name)},
                                         {"basis", decision.basis}};
     switch (decision.outcome) {
     case QuotaOutcome::Granted:
         forward(std::move(plan));
         return;
     case QuotaOutcome::OverLimit:
-        refuse(*plan.exchange, 429, "over_quota", overQuotaRetryAfter, details);
+        refuse(*plan.exchange, 429, "over_quota", overQuotaRetryAfter, plan.team, details);
         return;
     case QuotaOutcome::Unknown:
-        refuse(*plan.exchange, 503, "quota_unknown", unknownQuotaRetryAfter, details);
+        refuse(*plan.exchange, 503, "quota_unknown", unknownQuotaRetryAfter, plan.team, details);
         return;
     }
 }
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -72,7 +72,7 @@
     void onQuotaDecision(RequestPlan plan, const QuotaDecision &decision);
     void forward(RequestPlan plan);
     void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
-                std::optional<Milliseconds> retryAfter = std::nullopt,
+                std::optional<Milliseconds> retryAfter = std::nullopt, const Team *team = nullptr,
                 std::vector<LogField> details = {});
 
     const GatewayOptions m_options;
--- a/src/gateway/forwarding/RequestRecorder.cpp
+++ b/src/gateway/forwarding/RequestRecorder.cpp
@@ -2,31 +2,26 @@
 
 namespace gwt {
 
-const char *toString(RequestEnd end)
-{
-    switch (end) {
-    case RequestEnd::Served:
-        return "served";
-    case RequestEnd::Partial:
-        return "partial";
-    case RequestEnd::Refused:
-        return "refused";
-    case RequestEnd::Failed:
-        return "failed";
-    case RequestEnd::Abandoned:
-        return "abandoned";
-    }
-    return "";
-}
-
 RequestRecorder::RequestRecorder(Metrics &metrics)
     : m_metrics(metrics)
+    , m_teamRequests(metrics)
     , m_suppressedLines(metrics.counter("gwt_gateway_log_lines_left_out_total",
                                         "Lines about requests that were not written"))
 { }
 
-bool RequestRecorder::record(RequestEnd end, int rank, Duration elapsed, TimePoint now)
+void RequestRecorder::setTeams(const std::vector<Team> &teams)
+{
+    std::set<std::string> names;
+    for (const Team &team : teams)
+        names.insert(team.name);
+    m_teamRequests.setTeams(std::move(names));
+}
+
+bool RequestRecorder::record(RequestEnd end, int rank, const Team *team, Duration elapsed,
+                             TimePoint now)
 {
+    if (team)
+        m_teamRequests.count(team->name, end);
     prometheus::Histogram *&latency = m_latencies[{end, rank}];
     if (!latency) {
         latency = &m_metrics.latency("gwt_gateway_request_seconds",
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "gateway/forwarding/Refusal.h"
 #include "gateway/forwarding/RetryAfter.h"
+#include "gateway/forwarding/TeamLogFields.h"
 
 #include <algorithm>
 
@@ -213,7 +214,7 @@
     const bool wasAtCutoff = m_pendingShards > 0;
     const TimePoint now = Clock::now();
     const RequestEnd end = missing > 0 ? RequestEnd::Partial : RequestEnd::Served;
-    if (m_context.recorder.record(end, m_plan.rank, elapsed(), now))
+    if (m_context.recorder.record(end, m_plan.rank, m_plan.team, elapsed(), now))
         logInfo("query_answered",
                 logFields(wasAtCutoff ? "target_near" : "all_in", response.status));
     const auto exchange = m_plan.exchange;
@@ -243,15 +244,16 @@
     // A caller that comes too late says nothing about the load.
     if (reason != tooLateReason)
         m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
-    if (m_context.recorder.record(RequestEnd::Refused, m_plan.rank, elapsed(), now)) {
-        logInfo("query_refused",
-                {{"id", m_plan.request->id()},
-                 {"route", m_plan.route->name},
-                 {"reason", reason},
-                 {"reachable", reachable},
-                 {"shards", m_plan.route->query.shards.size()},
-                 {"min_share", m_plan.route->query.minShare},
-                 {"version", m_plan.routes->config().version}});
+    if (m_context.recorder.record(RequestEnd::Refused, m_plan.rank, m_plan.team, elapsed(), now)) {
+        std::vector<LogField> fields{{"id", m_plan.request->id()},
+                                     {"route", m_plan.route->name},
+                                     {"reason", reason},
+                                     {"reachable", reachable},
+                                     {"shards", m_plan.route->query.shards.size()},
+                                     {"min_share", m_plan.route->query.minShare},
+                                     {"version", m_plan.routes->config().version}};
+        addTeamFields(fields, m_plan);
+        logInfo("query_refused", fields);
     }
     m_isEnded = true;
     m_context.timers.cancel(m_deadlineTimer);
@@ -281,7 +283,7 @@
     const TimePoint now = Clock::now();
     const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
     m_context.recorder.countReason(end, reason);
-    if (m_context.recorder.record(end, m_plan.rank, elapsed(), now))
+    if (m_context.recorder.record(end, m_plan.rank, m_plan.team, elapsed(), now))
         logInfo("query_failed", logFields(reason, status));
     const auto exchange = m_plan.exchange;
     finish();
@@ -309,7 +311,7 @@
     if (m_isEnded)
         return;
     const TimePoint now = Clock::now();
-    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, elapsed(), now))
+    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, m_plan.team, elapsed(), now))
         logInfo("caller_gone", logFields("caller_gone", 0));
     if (!std::exchange(m_isPressureReported, true))
         m_context.admission.recordAbandoned(*m_plan.route, m_plan.rank, m_startedAt, now);
@@ -344,7 +346,7 @@
                 .append(call->service())
                 .append("@" + call->contactedServers());
     }
-    return {
+    std::vector<LogField> fields{
         {"id", m_plan.request->id()},
         {"route", m_plan.route->name},
         {"reason", reason},
@@ -359,6 +361,8 @@
         {"version", m_plan.routes->config().version},
         {"waited_before_ms", std::chrono::duration_cast<Milliseconds>(m_plan.waitedBefore).count()},
         {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}};
+    addTeamFields(fields, m_plan);
+    return fields;
 }
 
 void ShardQueryRun::finish()
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "gateway/forwarding/Refusal.h"
 #include "gateway/forwarding/RetryAfter.h"
+#include "gateway/forwarding/TeamLogFields.h"
 
 #include <algorithm>
 #include <array>
@@ -98,16 +99,18 @@
     const TimePoint now = Clock::now();
     m_context.admission.recordServed(*m_plan.route, m_plan.rank, now);
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
-    if (m_context.recorder.record(RequestEnd::Served, m_plan.rank, elapsed, now)) {
-        logInfo("request_served",
-                {{"id", m_plan.request->id()},
-                 {"route", m_plan.route->name},
-                 {"service", m_service},
-                 {"status", answer.status},
-                 {"sends", m_call->attemptCount()},
-                 {"backends", m_call->contactedServers()},
-                 {"version", m_plan.routes->config().version},
-                 {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}});
+    if (m_context.recorder.record(RequestEnd::Served, m_plan.rank, m_plan.team, elapsed, now)) {
+        std::vector<LogField> fields{
+            {"id", m_plan.request->id()},
+            {"route", m_plan.route->name},
+            {"service", m_service},
+            {"status", answer.status},
+            {"sends", m_call->attemptCount()},
+            {"backends", m_call->contactedServers()},
+            {"version", m_plan.routes->config().version},
+            {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}};
+        addTeamFields(fields, m_plan);
+        logInfo("request_served", fields);
     }
     m_plan.exchange->respond(std::move(answer));
 }
@@ -128,18 +131,20 @@
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
     const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
     m_context.recorder.countReason(end, reason);
-    if (m_context.recorder.record(end, m_plan.rank, elapsed, now)) {
-        logInfo("request_failed",
-                {{"id", m_plan.request->id()},
-                 {"route", m_plan.route->name},
-                 {"service", m_service},
-                 {"reason", reason},
-                 {"status", status},
-                 {"sends", m_call ? m_call->attemptCount() : 0},
-                 {"backends", m_call ? m_call->contactedServers() : ""},
-                 {"is_idempotent", m_plan.route->isIdempotent ? "yes" : "no"},
-                 {"version", m_plan.routes->config().version},
-                 {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}});
+    if (m_context.recorder.record(end, m_plan.rank, m_plan.team, elapsed, now)) {
+        std::vector<LogField> fields{
+            {"id", m_plan.request->id()},
+            {"route", m_plan.route->name},
+            {"service", m_service},
+            {"reason", reason},
+            {"status", status},
+            {"sends", m_call ? m_call->attemptCount() : 0},
+            {"backends", m_call ? m_call->contactedServers() : ""},
+            {"is_idempotent", m_plan.route->isIdempotent ? "yes" : "no"},
+            {"version", m_plan.routes->config().version},
+            {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}};
+        addTeamFields(fields, m_plan);
+        logInfo("request_failed", fields);
     }
     if (m_call)
         m_call->detach();
@@ -157,12 +162,14 @@
         return;
     const TimePoint now = Clock::now();
     const Duration elapsed = now - m_plan.exchange->arrivedAt();
-    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, elapsed, now)) {
-        logInfo("caller_gone",
-                {{"id", m_plan.request->id()},
-                 {"route", m_plan.route->name},
-                 {"backends", m_call->contactedServers()},
-                 {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}});
+    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, m_plan.team, elapsed, now)) {
+        std::vector<LogField> fields{
+            {"id", m_plan.request->id()},
+            {"route", m_plan.route->name},
+            {"backends", m_call->contactedServers()},
+            {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()}};
+        addTeamFields(fields, m_plan);
+        logInfo("caller_gone", fields);
     }
     m_isEnded = true;
     stopTimers();
--- a/test/TeamKeyTest.cpp
+++ b/test/TeamKeyTest.cpp
@@ -241,5 +241,26 @@
     runUntil(m_context, [&] { return core.openAttempts() == 0; });
 }
 
+// A label value per team that ever existed would let the metrics grow without a limit.
+TEST_F(TeamKeyTest, requestsAreCountedForTheTeamsInForceOnly)
+{
+    start();
+    sendRequest("/one/1", "Authorization: Bearer k1\r\n");
+    sendRequest("/all/1", "Authorization: Bearer k2\r\n");
+    const auto countOf = [&](const std::string &team) {
+        const std::string text = m_metrics.text();
+        const std::string line
+            = "gwt_gateway_team_requests_total{end=\"served\",team=\"" + team + "\"} 1";
+        return text.find(line) != std::string::npos;
+    };
+    EXPECT_TRUE(countOf("red"));
+    EXPECT_TRUE(countOf("blue"));
+    m_config.version = 2;
+    m_config.teams.erase(m_config.teams.begin());
+    m_core.onConfig(m_config);
+    EXPECT_FALSE(countOf("red"));
+    EXPECT_TRUE(countOf("blue"));
+}
+
 } // namespace
 } // namespace gwt::test
