--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -72,7 +72,7 @@
     void onQuotaDecision(RequestPlan plan, const QuotaDecision &decision);
     void forward(RequestPlan plan);
     void refuse(CallerExchange &exchange, unsigned status, const std::string &reason,
-                std::optional<Milliseconds> retryAfter = std::nullopt,
+                std::optional<Milliseconds> retryAfter = std::nullopt, const Team *team = nullptr,
                 std::vector<LogField> details = {});
 
     const GatewayOptions m_options;
@@ -89,6 +89,7 @@
     HoldTracker m_holds;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
+    DeadlineCheck m_deadlines{m_hedges};
     DeliveryTime m_delivery;
     CallerWaitEstimator m_callerWaits;
     AdmissionTable m_admission;
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "gateway/forwarding/Refusal.h"
 #include "gateway/forwarding/RetryAfter.h"
+#include "gateway/forwarding/TeamLogFields.h"
 
 #include <algorithm>
 
@@ -13,6 +14,7 @@
 /// Time for attempts in flight to finish after the caller has disconnected, as most do. Cancelling
 /// one closes its connection, which must then be opened again, so only longer ones are cancelled.
 constexpr Milliseconds cancelDelay{300};
+const std::string tooLateReason = "too_late";
 constexpr std::size_t maxLoggedShards = 4; ///< listed in a log line
 
 } // namespace
@@ -59,6 +61,10 @@
         refuse("shards_unreachable", reachable);
         return;
     }
+    if (m_context.deadlines.isTooLate(*m_plan.route, m_plan.deadline - now, now)) {
+        refuse(tooLateReason, reachable);
+        return;
+    }
     const auto self = shared_from_this();
     m_plan.exchange->onDisconnect([self] { self->onCallerDisconnected(); });
     m_plan.exchange->onStop([self] { self->endEarly(); });
@@ -70,7 +76,8 @@
     }
     const Duration typicalLatency
         = m_context.hedges.typicalLatency(m_plan.route->name, m_plan.route->target);
-    if (!m_context.admission.admit(*m_plan.route, m_plan.rank, typicalLatency, now)) {
+    if (!m_context.admission.admit(*m_plan.route, m_plan.rank, m_plan.excess, typicalLatency,
+                                   now)) {
         refuse("overloaded", reachable);
         return;
     }
@@ -142,6 +149,8 @@
     --m_pendingShards;
     m_mayHaveRun = m_mayHaveRun || reply.mayHaveRun;
     if (reply.isSuccess) {
+        if (m_parts.empty())
+            m_context.deadlines.recordAnswer(m_plan.route->name, Clock::now());
         const auto signature = (*reply.response)[m_context.headerNames.signature];
         m_parts.push_back({std::string(signature), std::move(reply.response->body())});
         if (2 * m_parts.size() >= m_plan.route->query.shards.size())
@@ -205,7 +214,7 @@
     const bool wasAtCutoff = m_pendingShards > 0;
     const TimePoint now = Clock::now();
     const RequestEnd end = missing > 0 ? RequestEnd::Partial : RequestEnd::Served;
-    if (m_context.recorder.record(end, m_plan.rank, elapsed(), now))
+    if (m_context.recorder.record(end, m_plan.rank, m_plan.team, elapsed(), now))
         logInfo("query_answered",
                 logFields(wasAtCutoff ? "target_near" : "all_in", response.status));
     const auto exchange = m_plan.exchange;
@@ -232,16 +241,19 @@
 {
     const TimePoint now = Clock::now();
     m_context.recorder.countReason(RequestEnd::Refused, reason);
-    m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
-    if (m_context.recorder.record(RequestEnd::Refused, m_plan.rank, elapsed(), now)) {
-        logInfo("query_refused",
-                {{"id", m_plan.request->id()},
-                 {"route", m_plan.route->name},
-                 {"reason", reason},
-                 {"reachable", reachable},
-                 {"shards", m_plan.route->query.shards.size()},
-                 {"min_share", m_plan.route->query.minShare},
-                 {"version", m_plan.routes->config().version}});
+    // A caller that comes too late says nothing about the load.
+    if (reason != tooLateReason)
+        m_context.admission.recordRefusal(*m_plan.route, m_plan.rank, now);
+    if (m_context.recorder.record(RequestEnd::Refused, m_plan.rank, m_plan.team, elapsed(), now)) {
+        std::vector<LogField> fields{{"id", m_plan.request->id()},
+                                     {"route", m_plan.route->name},
+                                     {"reason", reason},
+                                     {"reachable", reachable},
+                                     {"shards", m_plan.route->query.shards.size()},
+                                     {"min_share", m_plan.route->query.minShare},
+                                     {"version", m_plan.routes->config().version}};
+        addTeamFields(fields, m_plan);
+        logInfo("query_refused", fields);
     }
     m_isEnded = true;
     m_context.timers.cancel(m_deadlineTimer);
@@ -271,7 +283,7 @@
     const TimePoint now = Clock::now();
     const RequestEnd end = status == 503 ? RequestEnd::Refused : RequestEnd::Failed;
     m_context.recorder.countReason(end, reason);
-    if (m_context.recorder.record(end, m_plan.rank, elapsed(), now))
+    if (m_context.recorder.record(end, m_plan.rank, m_plan.team, elapsed(), now))
         logInfo("query_failed", logFields(reason, status));
     const auto exchange = m_plan.exchange;
     finish();
@@ -299,7 +311,7 @@
     if (m_isEnded)
         return;
     const TimePoint now = Clock::now();
-    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, elapsed(), now))
+    if (m_context.recorder.record(RequestEnd::Abandoned, m_plan.rank, m_plan.team, elapsed(), now))
         logInfo("caller_gone", logFields("caller_gone", 0));
     if (!std::exchange(m_isPressureReported, true))
         m_context.admission.recordAbandoned(*m_plan.route, m_plan.rank, m_startedAt, now);
@@ -334,7 +346,7 @@
                 .append(call->service())
                 .append("@" + call->contactedServers());
     }
-    return {
+    std::vector<LogField> fields{
         {"id", m_plan.request->id()},
         {"route", m_plan.route->name},
         {"reason", reason},
@@ -349,6 +361,8 @@
         {"version", m_plan.routes->config().version},
         {"waited_before_ms", std::chrono::duration_cast<Milliseconds>(m_plan.waitedBefore).count()},
         {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(elapsed()).count()}};
+    addTeamFields(fields, m_plan);
+    return fields;
 }
 
 void ShardQueryRun::finish()
