Follow a store that returns from an older copy

Cause: the store may return from a copy that is some seconds old; its header Store-Era rises, revisions go back and are assigned again. States with lower revisions were taken for older, a watch went on from a revision with other content, lost registrations were not made again by watchers, and conditional updates could hit another object of the same revision. The stand-in store gets the fault and the header; without it nothing changes.

--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayStatus.h"
 
+#include "common/StoreRevision.h"
+
 namespace gwt {
 
 namespace json = boost::json;
@@ -75,8 +77,9 @@
     status["state"] = isStopping ? "draining" : running;
     status["config"] = {{"version", m_core.configVersion()},
                         {"applied_ms_ago", milliseconds(now - m_core.configAppliedAt())}};
-    status["registry"]
-        = {{"revision", m_fleetState.backendRevision()}, {"is_watcher", m_sharing.isWatching()}};
+    status["registry"] = {{"revision", ownStoreRevisionOf(m_fleetState.backendRevision())},
+                          {"era", storeEraOf(m_fleetState.backendRevision())},
+                          {"is_watcher", m_sharing.isWatching()}};
     const bool hasRegistryState = m_fleetState.backendRevision() > 0;
     if (hasRegistryState) {
         const auto age = milliseconds(m_sharing.registryAge(now));
--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sharing/FleetState.h"
 
 #include "common/Log.h"
+#include "common/StoreRevision.h"
 #include "gateway/sharing/StateCodec.h"
 
 #include <algorithm>
@@ -71,6 +72,9 @@
 {
     if (revision < m_backendRevision)
         return;
+    // Entries that are missing in an older copy of the registry are about to be written again.
+    if (m_backendRevision > 0 && storeEraOf(revision) > storeEraOf(m_backendRevision))
+        m_observer.onRegistryRecovery();
     m_rejected.backends = false;
     VersionedSet::Digests digests;
     m_entries.clear();
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -30,7 +30,8 @@
 /// \brief Holds configuration, backend servers and members, each with the registry's revision.
 ///
 /// Updates come from the registry itself or from another process that follows it. Both carry the
-/// registry's revisions, so a late or repeated reply never replaces newer state.
+/// registry's revisions, so a late or repeated reply never replaces newer state. Revisions include
+/// the era of the registry (common/StoreRevision.h).
 /// Processes exchange deltas. A delta whose result does not match the sender's digest is rejected,
 /// and the full state is requested instead.
 class FleetState
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -87,10 +87,15 @@
         m_tree.setMembers(members);
         m_reaper.setMembers(members);
     }
+    checkMembership(Clock::now());
+}
+
+void StateSharing::checkMembership(TimePoint now)
+{
+    const std::vector<FleetMember> &members = m_state.members();
     const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &member) {
         return member.name == m_options.self.name;
     });
-    const TimePoint now = Clock::now();
     if (isMember || members.empty() || now - m_joinedAt < m_options.minJoinInterval)
         return;
     logWarning("membership_lost", {{"members", members.size()}});
@@ -204,6 +209,9 @@
         const char *reason = isStale ? "stale" : "current";
         setWatching(isWatcher || isStale, isWatcher ? "order" : reason);
         logFreshness(now);
+        // A registration that was lost soon after it was made causes no update when it is due
+        // again.
+        checkMembership(now);
         if (candidates.empty()) {
             co_await sleepFor(watchCheckInterval);
             continue;
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -58,6 +58,7 @@
     Task<void> reapMembers();
     Task<PollResult> pollSource(FleetMember source);
     void onUpdate();
+    void checkMembership(TimePoint now);
     Task<wire::FleetStateReply> serve(wire::FleetStateRequest request, PeerRequest raw);
     Task<void> waitForUpdate(Duration limit);
     std::vector<FleetMember> sources(TimePoint now) const;
--- a/standins/platform/FakePlatform.cpp
+++ b/standins/platform/FakePlatform.cpp
@@ -71,6 +71,13 @@
     return HttpResponse::json(status, json::serialize(body));
 }
 
+HttpResponse withEra(HttpResponse response, std::uint64_t era)
+{
+    if (era > 0)
+        response.headers["store-era"] = std::to_string(era);
+    return response;
+}
+
 /// \brief Returns the response to a call, with the object in its body.
 HttpResponse answerOf(const StoreWrite &write)
 {
@@ -205,6 +212,14 @@
 }
 
 Task<HttpResponse> FakePlatform::answer(HttpRequest request)
+{
+    HttpResponse response = co_await answerInEra(std::move(request));
+    // A watch has the header already; all other replies are computed at once.
+    const bool hasEra = response.headers.contains("store-era");
+    co_return hasEra ? response : withEra(std::move(response), m_data.era());
+}
+
+Task<HttpResponse> FakePlatform::answerInEra(HttpRequest request)
 {
     if (faults().delay.count() > 0)
         co_await sleepFor(faults().delay);
@@ -310,10 +325,11 @@
     const TimePoint deadline = Clock::now() + wait;
     bool isSilenced = false;
     for (;;) {
+        const std::uint64_t era = m_data.era();
         const std::uint64_t asOf = m_data.revision();
         const auto changes = m_data.changesAfter(target.kind, after);
         if (!changes)
-            co_return errorResponse(410, "history_gone");
+            co_return withEra(errorResponse(410, "history_gone"), era);
         const bool isDone
             = !changes->empty() || Clock::now() >= deadline || request.cancel.isCancelled();
         if (isDone && !isSilenced) {
@@ -324,7 +340,8 @@
                     json::object{{"removed", change.isRemoved}, {"object", toJson(change.object)}});
                 last = std::max(last, change.revision);
             }
-            co_return jsonResponse(200, json::object{{"events", events}, {"asOf", last}});
+            co_return withEra(jsonResponse(200, json::object{{"events", events}, {"asOf", last}}),
+                              era);
         }
         co_await sleepFor(watchPollInterval);
         // A watch that is open when the store falls silent never gets its reply.
@@ -399,6 +416,10 @@
         setFaults(parseFaults(body.get_object(), faults()));
         co_return HttpResponse::json(200, "{}");
     }
+    if (path == "/admin/return-from-copy" && body.is_object()) {
+        returnFromCopy(Milliseconds(body.at("age_ms").as_int64()));
+        co_return HttpResponse::json(200, "{}");
+    }
     if (path == "/admin/hosts" && body.is_array()) {
         setHosts(parseHosts(body.get_array()));
         co_return HttpResponse::json(200, "{}");
--- a/standins/platform/FakePlatform.h
+++ b/standins/platform/FakePlatform.h
@@ -55,6 +55,9 @@
     /// \brief Returns the project's objects, by key.
     KeyedObjects &store() { return m_objects; }
     void setHosts(std::vector<Host> hosts);
+    /// \brief Returns from a copy that is \a age old. From then on replies have the header
+    /// Store-Era.
+    void returnFromCopy(Milliseconds age) { m_data.returnToCopy(age); }
 
 private:
     struct TokenWindow
@@ -73,6 +76,7 @@
 
     static std::optional<Target> targetOf(const HttpRequest &request);
     Task<HttpResponse> answer(HttpRequest request);
+    Task<HttpResponse> answerInEra(HttpRequest request);
     Task<HttpResponse> answerRead(HttpRequest request, Target target);
     Task<HttpResponse> answerWrite(HttpRequest request, Target target);
     Task<HttpResponse> answerWatch(HttpRequest request, Target target);
--- a/standins/platform/StoreData.cpp
+++ b/standins/platform/StoreData.cpp
@@ -1,5 +1,7 @@
 #include "standins/platform/StoreData.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 namespace {
@@ -18,8 +20,12 @@
     return object == objects->second.end() ? nullptr : &object->second;
 }
 
-void StoreData::recordChange(const std::string &kind, const ObjectRecord &object, bool isRemoved)
+void StoreData::recordChange(const std::string &kind, const ObjectRecord &object, bool isRemoved,
+                             std::optional<ObjectRecord> previous)
 {
+    m_undoLog.push_back({Clock::now(), m_revision, kind, object.name, std::move(previous)});
+    if (m_undoLog.size() > maxHistory)
+        m_undoLog.pop_front();
     m_history.push_back({m_revision, kind, object, isRemoved});
     if (m_history.size() <= maxHistory)
         return;
@@ -45,7 +51,7 @@
     object.revision = ++m_revision;
     object.createdRevision = m_revision;
     object.spec = std::move(spec);
-    recordChange(kind, object, false);
+    recordChange(kind, object, false, std::nullopt);
     return {StoreWrite::Verdict::Done, object};
 }
 
@@ -58,12 +64,13 @@
         return {StoreWrite::Verdict::Missing, {}};
     if (revision && *revision != object->revision)
         return {StoreWrite::Verdict::Conflict, *object};
+    const ObjectRecord previous = *object;
     if (!apply(*object))
         return {StoreWrite::Verdict::Done, *object};
     object->revision = ++m_revision;
     StoreWrite write{StoreWrite::Verdict::Done, *object};
     const bool isRemoved = object->isDeleting && object->finalizers.empty();
-    recordChange(kind, *object, isRemoved);
+    recordChange(kind, *object, isRemoved, previous);
     if (isRemoved)
         m_objects[kind].erase(name);
     return write;
@@ -133,7 +140,7 @@
                                                                  std::uint64_t revision) const
 {
     const std::lock_guard lock(m_mutex);
-    if (revision < m_historyFrom)
+    if (revision < m_historyFrom || revision > m_revision)
         return std::nullopt;
     std::vector<RecordChange> changes;
     for (const RecordChange &change : m_history) {
@@ -165,4 +172,29 @@
     m_historyFrom = m_revision;
 }
 
+void StoreData::returnToCopy(Duration age)
+{
+    const std::lock_guard lock(m_mutex);
+    const TimePoint copiedAt = Clock::now() - age;
+    while (!m_undoLog.empty() && m_undoLog.back().time > copiedAt) {
+        const UndoEntry &change = m_undoLog.back();
+        if (change.previous)
+            m_objects[change.kind][change.name] = *change.previous;
+        else
+            m_objects[change.kind].erase(change.name);
+        m_revision = change.revision - 1;
+        m_undoLog.pop_back();
+    }
+    while (!m_history.empty() && m_history.back().revision > m_revision)
+        m_history.pop_back();
+    m_historyFrom = std::min(m_historyFrom, m_revision);
+    ++m_era;
+}
+
+std::uint64_t StoreData::era() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_era;
+}
+
 } // namespace gwt
--- a/standins/platform/StoreData.h
+++ b/standins/platform/StoreData.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/Time.h"
+
 #include <boost/json.hpp>
 
 #include <cstdint>
@@ -76,17 +78,33 @@
     /// \brief Returns the objects whose name is greater than \a after, ordered by name.
     RecordPage list(const std::string &kind, const std::string &after) const;
     /// \brief Returns the changes of \a kind after \a revision, oldest first; nullopt if that part
-    /// of the history was dropped.
+    /// of the history was dropped, or the store does not have the revision.
     std::optional<std::vector<RecordChange>> changesAfter(const std::string &kind,
                                                           std::uint64_t revision) const;
     std::uint64_t revision() const;
     std::vector<std::string> kinds() const;
     /// \brief Drops the change history.
     void dropHistory();
+    /// \brief Replaces all data by a copy that is \a age old: later writes are lost, and their
+    /// revisions are assigned again. Raises the era. Limited to the last changes.
+    void returnToCopy(Duration age);
+    /// \brief Number of calls of returnToCopy().
+    std::uint64_t era() const;
 
 private:
+    /// A change, and what it replaced.
+    struct UndoEntry
+    {
+        TimePoint time;
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string name;
+        std::optional<ObjectRecord> previous;
+    };
+
     ObjectRecord *find(const std::string &kind, const std::string &name);
-    void recordChange(const std::string &kind, const ObjectRecord &object, bool isRemoved);
+    void recordChange(const std::string &kind, const ObjectRecord &object, bool isRemoved,
+                      std::optional<ObjectRecord> previous);
     StoreWrite change(const std::string &kind, const std::string &name, Expected revision,
                       const std::function<bool(ObjectRecord &)> &apply);
 
@@ -95,6 +113,8 @@
     std::deque<RecordChange> m_history;
     std::uint64_t m_historyFrom = 0; ///< the history has all changes after this revision
     std::uint64_t m_revision = 1;
+    std::deque<UndoEntry> m_undoLog; ///< oldest first
+    std::uint64_t m_era = 0;
 };
 
 } // namespace gwt
--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/KindFeed.h"
 #include "ScriptedServer.h"
+#include "common/StoreRevision.h"
 #include "platform/LoopTransport.h"
 
 #include <gtest/gtest.h>
@@ -32,6 +33,7 @@
     }
     void onRecovery() override { m_calls.emplace_back("return"); }
     void onSilence() override { m_calls.emplace_back("silence"); }
+    void onNewEra() override { m_calls.emplace_back("new era"); }
     const std::vector<std::string> &calls() const { return m_calls; }
     bool hasCall(const std::string &call) const
     {
@@ -232,6 +234,120 @@
     EXPECT_EQ(m_recorder.calls(), std::vector<std::string>{"listing:1"});
 }
 
+ScriptedReply jsonOfEra(int era, const std::string &body)
+{
+    return {httpResponse(200, "Store-Era: " + std::to_string(era) + "\r\n", body)};
+}
+
+// Guards against changes of revisions that the store has assigned again, and against the loss of
+// entries that are about to be written again: the recovery has to precede the new listing.
+TEST_F(KindFeedTest, changesOfANewEraAreDroppedAndTheKindIsListedAnew)
+{
+    int listings = 0;
+    int watches = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (!isWatch(request)) {
+            ++listings;
+            return jsonOfEra(
+                listings, listings == 1 ? R"({"items":[],"asOf":8})" : R"({"items":[],"asOf":7})");
+        }
+        if (++watches > 1)
+            return ScriptedReply{};
+        return jsonOfEra(2, R"({"events":[{"object":{"meta":{"name":"x"}}}],"asOf":12})");
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 4; }));
+    EXPECT_EQ(m_recorder.calls(),
+              (std::vector<std::string>{"listing:0", "new era", "return", "listing:0"}));
+    EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=7&"));
+}
+
+// Guards against a holder of a lease that counts as proven by a reply of an era that is over, and
+// against state that goes back to it.
+TEST_F(KindFeedTest, repliesOfAnEarlierEraAreDropped)
+{
+    int watches = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (!isWatch(request))
+            return jsonOfEra(2, onePage);
+        if (++watches > 1)
+            return ScriptedReply{};
+        return jsonOfEra(1, R"({"events":[{"object":{"meta":{"name":"x"}}}],"asOf":12})");
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 2; }));
+    const TimePoint provenAt = m_feed->provenAt();
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return m_feed->isLost(); }));
+    EXPECT_EQ(m_feed->provenAt(), provenAt);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 4; }));
+    EXPECT_EQ(m_recorder.calls(), (std::vector<std::string>{"listing:1", "return", "listing:1"}));
+}
+
+// A listing that mixes pages of two eras would hide what was lost between them.
+TEST_F(KindFeedTest, aListingAcrossTwoErasStartsAgain)
+{
+    int listings = 0;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (isWatch(request))
+            return ScriptedReply{};
+        if (++listings == 1)
+            return jsonOfEra(1, R"({"items":[{"meta":{"name":"a"}}],"more":true,"asOf":5})");
+        return jsonOfEra(2, R"({"items":[{"meta":{"name":"b"}}],"asOf":3})");
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 4; }));
+    EXPECT_EQ(m_recorder.calls(), std::vector<std::string>{"listing:1"});
+    EXPECT_TRUE(server.requests().back().target().starts_with("/-/objects/servers?watch=3&"));
+}
+
+struct UpdateCase
+{
+    std::string name;
+    int listedEra;
+    int replyEra; ///< of the update
+    std::size_t calls; ///< of the store, with the listing
+    std::string reason; ///< of the failure; empty: none
+};
+
+class EraUpdateTest : public KindFeedTest, public testing::WithParamInterface<UpdateCase>
+{ };
+
+// Without this, an update that was prepared before the store returned from an older copy could
+// replace another object that has been assigned the same revision.
+TEST_P(EraUpdateTest, updatesWithARevisionOfAnEarlierEraDoNotCount)
+{
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (request.method() == boost::beast::http::verb::get)
+            return jsonOfEra(GetParam().listedEra, onePage);
+        EXPECT_NE(request.body().find(R"("revision":3)"), std::string::npos);
+        return jsonOfEra(GetParam().replyEra, R"({"meta":{"name":"a","revision":6}})");
+    });
+    LoopTransport transport(m_context, m_timers, server.endpoint());
+    StoreClient store(transport);
+    std::optional<Outcome<StoreObject>> result;
+    store.list("servers", [&](const Outcome<StoreListing> &outcome) {
+        ASSERT_TRUE(isOk(outcome));
+        const std::uint64_t revision = combineStoreRevision(1, 3);
+        store.replace("servers", "a", revision, boost::json::object{},
+                      [&](Outcome<StoreObject> updated) { result = std::move(updated); });
+    });
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return result.has_value(); }));
+    EXPECT_EQ(server.requests().size(), GetParam().calls);
+    if (GetParam().reason.empty()) {
+        ASSERT_TRUE(isOk(*result));
+        EXPECT_EQ(valueOf(*result).revision, combineStoreRevision(1, 6));
+    } else {
+        ASSERT_FALSE(isOk(*result));
+        EXPECT_EQ(errorOf(*result).reason, GetParam().reason);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Eras, EraUpdateTest,
+                         testing::Values(UpdateCase{"sameEra", 1, 1, 2, ""},
+                                         UpdateCase{"knownNewEra", 2, 2, 1, "earlier_era"},
+                                         UpdateCase{"newEraInReply", 1, 2, 2, "store_era_changed"}),
+                         [](const auto &info) { return info.param.name; });
+
 struct FailureCase
 {
     std::string name;
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -19,7 +19,11 @@
     void onBackends(const std::vector<BackendEntry> &) override { }
     void onBackendChanges(const std::vector<BackendChange> &) override { }
     void onMembers(const std::vector<FleetMember> &) override { }
-    void onRegistryRecovery() override { }
+    void onRegistryRecovery() override { ++m_recoveries; }
+    int recoveries() const { return m_recoveries; }
+
+private:
+    int m_recoveries = 0;
 };
 
 class PlatformFeedTest : public testing::Test
@@ -51,6 +55,7 @@
             m_context, [&] { return m_state.members().size() == count; }, 10s);
     }
 
+    const TimePoint m_startedAt = Clock::now();
     boost::asio::io_context m_context;
     TimerQueue m_timers{m_context};
     Metrics m_metrics;
@@ -162,6 +167,36 @@
     feed.stopWatching();
 }
 
+// Guards against members that are no longer registered after the store lost their objects, against
+// an older configuration, and against states that count as older because their revisions are lower.
+TEST_F(PlatformFeedTest, afterAReturnFromAnOlderCopyTheListingHoldsAndThisProcessRegistersAgain)
+{
+    m_platform.data().overwrite("config", "main",
+                                {{"version", 3}, {"routes", boost::json::array()}});
+    runUntil(
+        m_context, [] { return false; }, 300ms);
+    m_platform.data().overwrite("config", "main",
+                                {{"version", 4}, {"routes", boost::json::array()}});
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
+    ASSERT_TRUE(joinAndRegister());
+    m_feed.startWatching();
+    ASSERT_TRUE(membersBecome(2));
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return m_state.configVersion() == 4 && m_state.backendRevision() > 0; },
+        2s));
+    const std::uint64_t revision = m_platform.data().revision();
+    const auto age = std::chrono::ceil<Milliseconds>(Clock::now() - m_startedAt) - 200ms;
+    m_platform.returnFromCopy(age);
+    ASSERT_LT(m_platform.data().revision(), revision);
+    ASSERT_FALSE(isRegistered("host-a"));
+    EXPECT_TRUE(membersBecome(1));
+    EXPECT_TRUE(runUntil(
+        m_context, [&] { return isRegistered("host-a"); }, 3s));
+    EXPECT_EQ(m_state.members().front().name, "host-a");
+    EXPECT_EQ(m_state.configVersion(), 4U);
+    EXPECT_GT(m_observer.recoveries(), 0);
+}
+
 TEST_F(PlatformFeedTest, removedRegistrationIsRestoredByRejoining)
 {
     ASSERT_TRUE(joinAndRegister());
