Fence leases by the store's era

Cause: after the store has returned from an older copy, a restored lease names a process that may have lost it since, and the process that held it does not know. Change: a lease carries the era in which it was written; one of an earlier era is vacant. A holder whose proof is younger than the limit takes its lease back by a conditional update and keeps its buckets; any other process leaves it 3 s for that and waits one proof limit after it learned of the era. A process that had to wait needs a proof from after its wait, since its update may have been lost.

--- a/src/gateway/quota/LeaseKeeper.cpp
+++ b/src/gateway/quota/LeaseKeeper.cpp
@@ -1,20 +1,11 @@
 #include "gateway/quota/LeaseKeeper.h"
 
+#include "common/StoreRevision.h"
+
 #include <algorithm>
 
 namespace gwt {
 
-namespace {
-
-/// The store's era, in the upper bits of its revisions; rises when it returns from an older copy.
-std::uint64_t storeEraOf(std::uint64_t revision)
-{
-    constexpr unsigned revisionBits = 48;
-    return revision >> revisionBits;
-}
-
-} // namespace
-
 LeaseKeeper::LeaseKeeper(LeaseRules rules, Identity self, std::size_t preference)
     : m_rules(rules)
     , m_self(std::move(self))
@@ -41,18 +32,33 @@
     return (position + count - m_preference % count) % count;
 }
 
+void LeaseKeeper::onNewEra(TimePoint provenAt, TimePoint now)
+{
+    m_mayRetake = mayGrant(provenAt, now);
+    m_grantsFrom.reset();
+}
+
 void LeaseKeeper::onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now)
 {
     // A listing that is older than this process's own write says nothing about it.
     if (m_isKnown && revision < m_lease.revision)
         return;
-    const Lease newest = lease.value_or(Lease{});
-    const bool hasChanged = !m_isKnown || newest.holder != m_lease.holder
-        || newest.incarnation != m_lease.incarnation;
+    const std::uint64_t era = storeEraOf(revision);
+    const bool isNewEra = !m_isKnown || era > m_era;
+    Lease newest = lease.value_or(Lease{});
+    m_isLost = newest.era < era;
+    if (m_isLost)
+        newest = {"", "", std::max(newest.term, m_lease.term), newest.revision, newest.era};
+    else
+        m_mayRetake = false;
+    const bool hasChanged
+        = isNewEra || newest.holder != m_lease.holder || newest.incarnation != m_lease.incarnation;
+    if (isNewEra)
+        m_eraSince = now;
     m_isKnown = true;
-    m_isFirstEver = !lease && storeEraOf(revision) == 0;
+    m_era = era;
     m_lease = newest;
-    if (!isOwn(m_lease))
+    if (isNewEra || !isOwn(m_lease))
         m_grantsFrom.reset();
     if (!hasChanged)
         return;
@@ -87,8 +93,10 @@
     if (!ownTurn)
         return false;
     const auto wait = static_cast<std::int64_t>(*ownTurn) * m_rules.turn;
-    if (isVacant())
-        return now >= m_vacantSince + wait;
+    if (isVacant()) {
+        const Duration retakeTime = m_isLost ? m_rules.retakeTime : Duration::zero();
+        return m_mayRetake || now >= m_vacantSince + retakeTime + wait;
+    }
     if (m_lease.holder == m_self.host || m_hasHolderEnded)
         return true;
     // A process that is cut off itself must not take the lease from a holder that others reach.
@@ -99,8 +107,10 @@
 
 bool LeaseKeeper::needsWait() const
 {
+    if (m_isLost)
+        return !m_mayRetake;
     if (isVacant())
-        return m_lease.revision == 0 && !m_isFirstEver;
+        return false;
     const bool isFormerProcess
         = m_lease.holder == m_self.host && m_lease.incarnation != m_self.incarnation;
     return !m_hasHolderEnded && !isFormerProcess;
@@ -112,7 +122,8 @@
         return std::nullopt;
     m_isWriting = true;
     m_needsWait = needsWait();
-    return Lease{m_self.host, m_self.incarnation, m_lease.term + 1, m_lease.revision};
+    m_writeEra = m_era;
+    return Lease{m_self.host, m_self.incarnation, m_lease.term + 1, m_lease.revision, m_era};
 }
 
 void LeaseKeeper::onWritten(const std::optional<Lease> &lease, TimePoint now)
@@ -120,8 +131,20 @@
     m_isWriting = false;
     if (!lease || m_isReleased)
         return;
+    // What the write was based on no longer holds if the store has returned from an older copy.
+    if (m_writeEra != m_era || storeEraOf(lease->revision) != m_era)
+        return;
     m_lease = *lease;
-    m_grantsFrom = m_needsWait ? now + m_rules.proofLimit : now;
+    m_grantsFrom = now;
+    m_proofFrom = TimePoint();
+    // Nobody else has written a lost lease in this era, so only holders of earlier eras matter,
+    // whose proofs are older than the era.
+    if (m_needsWait)
+        m_grantsFrom = std::max(now, (m_isLost ? m_eraSince : now) + m_rules.proofLimit);
+    if (m_needsWait)
+        m_proofFrom = *m_grantsFrom;
+    m_isLost = false;
+    m_mayRetake = false;
 }
 
 std::optional<Lease> LeaseKeeper::release()
@@ -130,7 +153,7 @@
     m_grantsFrom.reset();
     if (!isOwn(m_lease))
         return std::nullopt;
-    return Lease{"", "", m_lease.term + 1, m_lease.revision};
+    return Lease{"", "", m_lease.term + 1, m_lease.revision, m_era};
 }
 
 std::string LeaseKeeper::hostToProbe() const
@@ -140,7 +163,8 @@
 
 bool LeaseKeeper::mayGrant(TimePoint provenAt, TimePoint now) const
 {
-    return m_grantsFrom && now >= *m_grantsFrom && now - provenAt <= m_rules.proofLimit;
+    return m_grantsFrom && now >= *m_grantsFrom && provenAt >= m_proofFrom
+        && now - provenAt <= m_rules.proofLimit;
 }
 
 } // namespace gwt
--- a/src/gateway/quota/LeaseKeeper.h
+++ b/src/gateway/quota/LeaseKeeper.h
@@ -24,6 +24,9 @@
     Duration proofLimit = std::chrono::seconds(10);
     Duration silenceLimit = std::chrono::seconds(1); ///< without a reply until a challenge
     Duration turn = std::chrono::seconds(2); ///< between two candidates for a vacant lease
+    /// After the store has returned from an older copy, until another process than the holder takes
+    /// the lease. The holder learns of it with its watch, which lasts up to 2 s.
+    Duration retakeTime = std::chrono::seconds(3);
 };
 
 /// \brief Decides when this process takes a lease and when it may act as its holder.
@@ -44,6 +47,9 @@
 
     /// \brief Sets the hosts that may take the lease, in order.
     void setCandidates(std::vector<std::string> candidates);
+    /// \brief The store has returned from an older copy. Stops granting until the lease is written
+    /// again; \a provenAt is that of the LeaseStore in the earlier era.
+    void onNewEra(TimePoint provenAt, TimePoint now);
     /// \brief The store holds \a lease, or none, as of \a revision.
     void onLease(const std::optional<Lease> &lease, std::uint64_t revision, TimePoint now);
     /// \brief Records a call to \a host.
@@ -65,6 +71,9 @@
     /// \brief True if this process may act as the holder; \a provenAt is that of the LeaseStore.
     bool mayGrant(TimePoint provenAt, TimePoint now) const;
     std::uint64_t term() const { return m_lease.term; }
+    /// \brief True if the store has returned from an older copy and this process, which could
+    /// grant until then, may take its lease back without a wait.
+    bool mayRetake() const { return m_mayRetake; }
 
 private:
     bool isOwn(const Lease &lease) const;
@@ -80,15 +89,23 @@
     const std::size_t m_preference;
     std::vector<std::string> m_candidates;
     bool m_isKnown = false; ///< the store has been read
-    bool m_isFirstEver = false; ///< the store has never had this lease
-    Lease m_lease; ///< newest known; empty if there is none
+    /// The store may have lost a newer lease: this one is missing or of an earlier era.
+    bool m_isLost = false;
+    Lease m_lease; ///< newest known; vacant if there is none or it was lost
+    std::uint64_t m_era = 0; ///< of the store
+    TimePoint m_eraSince; ///< when this process learned of it
+    bool m_mayRetake = false;
     TimePoint m_vacantSince;
     std::optional<TimePoint> m_silentSince; ///< first call to the holder without a reply
     bool m_hasHolderEnded = false;
     TimePoint m_reachedOtherAt; ///< last reply of a host that is not the holder
     bool m_isWriting = false;
     bool m_needsWait = true; ///< of the write in progress
+    std::uint64_t m_writeEra = 0; ///< era in which the write in progress began
     std::optional<TimePoint> m_grantsFrom;
+    /// A proof before this does not count. After a wait, a proof from before its end might be of an
+    /// earlier era, in which the previous holder has taken back its lease.
+    TimePoint m_proofFrom;
     bool m_isReleased = false;
 };
 
--- a/src/gateway/quota/LeaseStore.h
+++ b/src/gateway/quota/LeaseStore.h
@@ -16,7 +16,8 @@
     std::string holder; ///< name of a host; empty: released
     std::string incarnation; ///< of the process of the holder
     std::uint64_t term = 0; ///< rises by one with each change of the holder
-    std::uint64_t revision = 0; ///< of the object; 0: there is none
+    std::uint64_t revision = 0; ///< of the object, with the store's era; 0: there is none
+    std::uint64_t era = 0; ///< of the store in which it was written
 
     bool operator==(const Lease &) const = default;
 };
@@ -30,12 +31,15 @@
 public:
     /// \brief Called with all leases as of \a revision of the store.
     using TableHandler = std::function<void(const LeaseTable &leases, std::uint64_t revision)>;
+    /// \brief Called when the store has returned from an older copy, before the leases are read
+    /// anew; provenAt() is still that of the earlier era.
+    using EraHandler = std::function<void()>;
     using WriteHandler = std::function<void(Outcome<Lease>)>;
 
     virtual ~LeaseStore() = default;
 
     /// \brief Starts following the leases; \a handler runs after each change.
-    virtual void startWatching(TableHandler handler) = 0;
+    virtual void startWatching(TableHandler handler, EraHandler onNewEra) = 0;
     virtual void stopWatching() = 0;
     /// \brief Time as of which all changes are certainly reported; the epoch if unknown.
     virtual TimePoint provenAt() const = 0;
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -70,9 +70,9 @@
     const bool isWatching = m_isActive && isCandidate && !m_isStopping;
     if (isWatching != std::exchange(m_isWatching, isWatching)) {
         if (isWatching)
-            m_store.startWatching([this](const LeaseTable &leases, std::uint64_t revision) {
-                onLeases(leases, revision);
-            });
+            m_store.startWatching([this](const LeaseTable &leases,
+                                         std::uint64_t revision) { onLeases(leases, revision); },
+                                  [this] { onNewEra(); });
         else
             m_store.stopWatching();
     }
@@ -137,6 +137,13 @@
     }
 }
 
+void QuotaService::onNewEra()
+{
+    const TimePoint now = Clock::now();
+    for (Range &range : m_ranges)
+        range.keeper->onNewEra(m_store.provenAt(), now);
+}
+
 void QuotaService::onLeases(const LeaseTable &leases, std::uint64_t revision)
 {
     m_leases = leases;
@@ -146,7 +153,7 @@
         const bool exists = lease != leases.end();
         m_ranges[i].keeper->onLease(exists ? std::optional(lease->second) : std::nullopt, revision,
                                     now);
-        if (!m_ranges[i].keeper->grantsFrom())
+        if (!m_ranges[i].keeper->grantsFrom() && !m_ranges[i].keeper->mayRetake())
             m_ranges[i].ledger.reset();
         logHolder(i);
     }
@@ -156,6 +163,7 @@
 {
     m_store.write(quotaLeaseName(range), lease, [this, range](const Outcome<Lease> &outcome) {
         LeaseKeeper &keeper = *m_ranges[range].keeper;
+        const bool isRetaken = keeper.mayRetake() && m_ranges[range].ledger;
         keeper.onWritten(isOk(outcome) ? std::optional(valueOf(outcome)) : std::nullopt,
                          Clock::now());
         if (!isOk(outcome)) {
@@ -163,8 +171,10 @@
             return;
         }
         m_leases[quotaLeaseName(range)] = valueOf(outcome);
-        m_ranges[range].ledger.reset();
-        if (const auto from = keeper.grantsFrom())
+        const auto from = keeper.grantsFrom();
+        if (!from)
+            m_ranges[range].ledger.reset();
+        else if (!isRetaken)
             m_ranges[range].ledger.emplace(m_options.rules, *from);
         logHolder(range);
     });
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -60,13 +60,15 @@
     struct Range
     {
         std::unique_ptr<LeaseKeeper> keeper;
-        std::optional<QuotaLedger> ledger; ///< set while this process holds the lease
+        /// Set while this process holds the lease, or may take it back.
+        std::optional<QuotaLedger> ledger;
         std::string knownHolder; ///< for the log
     };
 
     Task<void> run();
     Task<void> probe(std::string host);
     void tick(TimePoint now);
+    void onNewEra();
     void onLeases(const LeaseTable &leases, std::uint64_t revision);
     void write(std::size_t range, const Lease &lease);
     void logHolder(std::size_t range);
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -1,3 +1,4 @@
+#include "common/StoreRevision.h"
 #include "gateway/quota/LeaseKeeper.h"
 #include "gateway/quota/QuotaLedger.h"
 #include "gateway/quota/QuotaRanges.h"
@@ -34,17 +35,37 @@
 public:
     std::optional<Lease> lease() const { return m_lease; }
     std::uint64_t revision() const { return m_revision; }
-    std::optional<Lease> write(Lease lease)
+    std::optional<Lease> write(Lease lease, TimePoint now)
     {
         if (lease.revision != (m_lease ? m_lease->revision : 0))
             return std::nullopt;
         lease.revision = ++m_revision;
+        m_copies.push_back({now, m_lease});
         m_lease = lease;
         return m_lease;
     }
+    /// Loses the writes after \a time. All revisions are assigned again.
+    void returnToCopyOf(TimePoint time)
+    {
+        while (!m_copies.empty() && m_copies.back().replacedAt > time) {
+            m_lease = m_copies.back().lease;
+            m_copies.pop_back();
+        }
+        const std::uint64_t era = storeEraOf(m_revision) + 1;
+        m_revision = combineStoreRevision(era, m_copies.size() + 1);
+        if (m_lease)
+            m_lease->revision = combineStoreRevision(era, ownStoreRevisionOf(m_lease->revision));
+    }
 
 private:
+    struct Copy
+    {
+        TimePoint replacedAt;
+        std::optional<Lease> lease;
+    };
+
     std::optional<Lease> m_lease;
+    std::vector<Copy> m_copies; ///< oldest first
     std::uint64_t m_revision = 1;
 };
 
@@ -64,6 +85,7 @@
     std::optional<QuotaLedger> ledger;
     StandingRights rights;
     TimePoint provenAt;
+    std::uint64_t era = 0; ///< of the store, as known
     TimePoint probedAt;
     bool isReachable = true; ///< by other hosts
     bool reachesStore = true;
@@ -81,6 +103,7 @@
     bool cutsStore = false;
     bool kills = false;
     bool pauses = false;
+    bool restoresStore = false; ///< from copies that are up to 20 s old
     double hotFactor = 7.5;
     double minServed = 0; ///< share of the requests of the other teams that is granted
 };
@@ -135,10 +158,13 @@
         if (!host.runs(m_now))
             return;
         if (host.reachesStore) {
+            if (host.provenAt != TimePoint() && storeEraOf(m_lease.revision()) > host.era)
+                host.keeper.onNewEra(host.provenAt, m_now);
+            host.era = storeEraOf(m_lease.revision());
             host.provenAt = m_now;
             host.keeper.onLease(m_lease.lease(), m_lease.revision(), m_now);
         }
-        if (!host.keeper.grantsFrom())
+        if (!host.keeper.grantsFrom() && !host.keeper.mayRetake())
             host.ledger.reset();
         if (m_now - host.probedAt >= 400ms) {
             host.probedAt = m_now;
@@ -148,8 +174,10 @@
         const auto update = host.keeper.beginWrite(m_now);
         if (!update)
             return;
-        host.keeper.onWritten(host.reachesStore ? m_lease.write(*update) : std::nullopt, m_now);
-        if (const auto from = host.keeper.grantsFrom())
+        const bool isRetaken = host.keeper.mayRetake() && host.ledger;
+        host.keeper.onWritten(host.reachesStore ? m_lease.write(*update, m_now) : std::nullopt,
+                              m_now);
+        if (const auto from = host.keeper.grantsFrom(); from && !isRetaken)
             host.ledger.emplace(rules, *from);
     }
 
@@ -204,6 +232,8 @@
     void disturb()
     {
         const FleetCase &fleet = GetParam();
+        if (fleet.restoresStore && m_random() % 2 == 0)
+            m_lease.returnToCopyOf(m_now - Milliseconds(m_random() % 20'000));
         // Coordinators and their candidates are hit more often than the other hosts.
         std::uniform_int_distribution<std::size_t> any(0, 2 * s_candidates);
         std::uniform_int_distribution<int> time(500, 12'000);
@@ -266,16 +296,94 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Disturbances, QuotaFleetTest,
-    testing::Values(FleetCase{"calm", false, false, false, false, 1, 1},
-                    FleetCase{"oneHotTeam", false, false, false, false, 7.5, 1},
-                    FleetCase{"hostsCutOff", true, false, false, false, 7.5, 0},
-                    FleetCase{"storeCutOff", false, true, false, false, 7.5, 0.99},
-                    FleetCase{"killed", false, false, true, false, 7.5, 0},
-                    FleetCase{"paused", false, false, false, true, 7.5, 0},
-                    FleetCase{"cutOffFromAll", true, true, false, false, 7.5, 0},
-                    FleetCase{"everything", true, true, true, true, 7.5, 0}),
+    testing::Values(FleetCase{"calm", false, false, false, false, false, 1, 1},
+                    FleetCase{"oneHotTeam", false, false, false, false, false, 7.5, 1},
+                    FleetCase{"hostsCutOff", true, false, false, false, false, 7.5, 0},
+                    FleetCase{"storeCutOff", false, true, false, false, false, 7.5, 0.99},
+                    FleetCase{"killed", false, false, true, false, false, 7.5, 0},
+                    FleetCase{"paused", false, false, false, true, false, 7.5, 0},
+                    FleetCase{"cutOffFromAll", true, true, false, false, false, 7.5, 0},
+                    FleetCase{"everything", true, true, true, true, false, 7.5, 0},
+                    FleetCase{"storeRestored", false, false, false, false, true, 7.5, 0.99},
+                    FleetCase{"storeRestoredWhileCutOff", true, true, false, false, true, 7.5, 0},
+                    FleetCase{"everythingAndRestored", true, true, true, true, true, 7.5, 0}),
     [](const auto &info) { return info.param.name; });
 
+struct RestoredCase
+{
+    std::string name;
+    std::optional<Lease> restored; ///< in the copy
+    Duration proofAge; ///< of the holder, when it learns of the new era
+    std::optional<Duration> grantsAfter; ///< of the holder; nullopt: not within 20 s
+};
+
+class RestoredLeaseTest : public testing::TestWithParam<RestoredCase>
+{ };
+
+// Guards against two processes that grant for the same range after the store has lost the lease of
+// the holder: the restored lease does not tell who held it last.
+TEST_P(RestoredLeaseTest, onlyAHolderWithAFreshProofGrantsWithoutWait)
+{
+    LeaseKeeper keeper(LeaseRules{}, {"a", "a-2"}, 0);
+    keeper.setCandidates({"a", "b"});
+    keeper.onLease(std::nullopt, 50, start);
+    const auto first = keeper.beginWrite(start);
+    ASSERT_TRUE(first);
+    keeper.onWritten(Lease{"a", "a-2", 1, 51, 0}, start);
+    ASSERT_TRUE(keeper.mayGrant(start, start));
+    const TimePoint learnedAt = start + GetParam().proofAge;
+    keeper.onNewEra(start, learnedAt);
+    EXPECT_FALSE(keeper.mayGrant(learnedAt, learnedAt));
+    std::uint64_t revision = combineStoreRevision(1, 40);
+    keeper.onLease(GetParam().restored, revision, learnedAt);
+    EXPECT_FALSE(keeper.mayGrant(learnedAt, learnedAt)) << "a restored lease gives no right";
+    std::optional<Duration> grantsAfter;
+    for (TimePoint now = learnedAt; now < learnedAt + 20s && !grantsAfter; now += 100ms) {
+        if (auto lease = keeper.beginWrite(now)) {
+            lease->revision = ++revision;
+            keeper.onWritten(lease, now);
+        }
+        if (keeper.mayGrant(now, now))
+            grantsAfter = now - learnedAt;
+    }
+    EXPECT_EQ(grantsAfter, GetParam().grantsAfter);
+}
+
+const Lease restoredOwn{"a", "a-2", 1, combineStoreRevision(1, 30), 0};
+const Lease restoredFormer{"a", "a-1", 1, combineStoreRevision(1, 30), 0};
+const Lease restoredOther{"b", "b-1", 1, combineStoreRevision(1, 30), 0};
+const Lease writtenInNewEra{"b", "b-1", 1, combineStoreRevision(1, 35), 1};
+
+INSTANTIATE_TEST_SUITE_P(
+    Copies, RestoredLeaseTest,
+    testing::Values(RestoredCase{"own", restoredOwn, 2s, 0s},
+                    RestoredCase{"none", std::nullopt, 2s, 0s},
+                    RestoredCase{"other", restoredOther, 2s, 0s},
+                    RestoredCase{"ownWithOldProof", restoredOwn, 11s, 10s},
+                    RestoredCase{"formerProcessWithOldProof", restoredFormer, 11s, 10s},
+                    RestoredCase{"otherWithOldProof", restoredOther, 11s, 10s},
+                    RestoredCase{"takenInNewEra", writtenInNewEra, 2s, std::nullopt}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against two processes that grant: the update of a challenger was lost with the store's
+// older copy, and the holder has taken its lease back in the new era, of which the challenger knows
+// nothing.
+TEST(LeaseKeeperTest, afterAWaitOnlyAProofFromAfterItCounts)
+{
+    LeaseKeeper keeper(LeaseRules{}, {"b", "b-1"}, 0);
+    keeper.setCandidates({"a", "b"});
+    keeper.onLease(Lease{"a", "a-1", 1, 5, 0}, 5, start);
+    keeper.onProbe("a", ProbeResult::NoReply, start);
+    const TimePoint writtenAt = start + 1s;
+    auto lease = keeper.beginWrite(writtenAt);
+    ASSERT_TRUE(lease);
+    lease->revision = 6;
+    keeper.onWritten(lease, writtenAt);
+    const TimePoint end = writtenAt + LeaseRules{}.proofLimit;
+    EXPECT_FALSE(keeper.mayGrant(end - 1ms, end));
+    EXPECT_TRUE(keeper.mayGrant(end, end));
+}
+
 struct LimitCase
 {
     std::string name;
