Soak: the store returns from an older copy

Change: a soak fault returns the stand-in store from a copy up to 8 s old; what the operator and the backend servers wrote is written again, missing registrations after 0.5 s.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::seconds startTime{10}; ///< until all gateways are ready, on a busy machine
 /// A request that was sent within this time before its connection ends may have crossed the close.
 constexpr Milliseconds closeRaceTime{200};
+constexpr std::uint64_t maxCopyAge = 8000; ///< in ms
+constexpr Milliseconds registrationDelay{500}; ///< after the store has lost a registration
 constexpr int defaultSlots = 2;
 /// Limit on the header of a request; above what fields of Boost.Beast hold.
 constexpr int maxHeaderBytes = 131'072;
@@ -44,6 +46,7 @@
     {"store silent", &Soak::storeSilent},
     {"store cut from one gateway", &Soak::storeCut},
     {"store mute to all gateways but one", &Soak::storeMute},
+    {"store returns from an older copy", &Soak::storeRestored},
     {"backend slow", &Soak::backendSlow},
     {"backend full", &Soak::backendFull},
     {"backend fails", &Soak::backendFails},
@@ -239,6 +242,30 @@
     });
 }
 
+void Soak::storeRestored()
+{
+    std::map<std::string, json::value> written;
+    for (const ObjectRecord &record : m_platform.data().list("servers", "").records)
+        written[record.name] = record.spec;
+    const auto config = m_platform.data().get("config", "main");
+    m_platform.returnFromCopy(Milliseconds(static_cast<std::int64_t>(m_random() % maxCopyAge)));
+    for (const auto &gateway : m_gateways)
+        disturb(*gateway, 2 * faultDuration);
+    // The operator and the backend servers write what they had written. Backend servers whose
+    // registration is lost need a moment.
+    m_platform.data().overwrite("config", "main", config->spec);
+    for (const auto &[id, spec] : written) {
+        if (m_platform.data().get("servers", id))
+            m_platform.data().overwrite("servers", id, spec);
+    }
+    m_timers.after(registrationDelay, [this, written] {
+        for (const auto &[id, spec] : written) {
+            if (!m_platform.data().get("servers", id))
+                m_platform.data().overwrite("servers", id, spec);
+        }
+    });
+}
+
 void Soak::injectBackendFault(SoakBackend::Mode mode)
 {
     SoakBackend &backend = randomElement(m_backends);
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -76,6 +76,7 @@
     void storeSilent() { injectStoreFault(&PlatformFaults::isSilent); }
     void storeCut();
     void storeMute();
+    void storeRestored();
     void backendSlow() { injectBackendFault(SoakBackend::Mode::Slow); }
     void backendFull() { injectBackendFault(SoakBackend::Mode::Full); }
     void backendFails() { injectBackendFault(SoakBackend::Mode::Fails); }
