--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "common/Sleep.h"
+#include "common/StoreRevision.h"
 #include "peer/PeerCodec.h"
 
 #include <algorithm>
@@ -209,9 +210,10 @@
         const char *reason = isStale ? "stale" : "current";
         setWatching(isWatcher || isStale, isWatcher ? "order" : reason);
         logFreshness(now);
-        // A registration that was lost soon after it was made causes no update when it is due
-        // again.
-        checkMembership(now);
+        // A store that returns from an older copy loses registrations that were made just before.
+        // No further update may come once they are due again.
+        if (storeEraOf(m_state.memberRevision()) > 0)
+            checkMembership(now);
         if (candidates.empty()) {
             co_await sleepFor(watchCheckInterval);
             continue;
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -3,6 +3,7 @@
 
 #include "LoopbackAddress.h"
 #include "ScriptedServer.h"
+#include "common/StoreRevision.h"
 
 #include <gtest/gtest.h>
 
@@ -385,5 +386,18 @@
     EXPECT_EQ(removedProcess.feed.rejoinCount, 1);
 }
 
+// Guards against a process that stays unregistered because the store, which has returned from an
+// older copy, has lost its registration just after it was made: no other update follows.
+TEST_F(StateSharingTest, aRegistrationLostInANewEraIsMadeAgainWithoutAnotherUpdate)
+{
+    makeProcesses(1, 50ms);
+    Process &lost = *m_processes[0];
+    ASSERT_TRUE(isOk(lost.sharing.start()));
+    lost.state.setMembers({{"host-9", {"127.0.0.1", 1}, "north"}}, combineStoreRevision(1, 3));
+    EXPECT_EQ(lost.feed.rejoinCount, 0);
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return lost.feed.rejoinCount > 0; }, 3s));
+}
+
 } // namespace
 } // namespace gwt
