Send nothing to the backend servers of an evacuated availability zone

Cause: an operator could not ask to evacuate a zone; servers there got requests until each of them was taken out of the registry. Change: objects of the kind evacuations, watched where policies in the settings has places, name zones; the set is shared by FleetState with the store's revision. ServicePool does not use servers of such a zone in any send, queued attempts included, and closes their idle connections. The set holds while the store is lost, and for 2 s after the store has returned from an older copy without it.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -71,8 +71,11 @@
     gwt::FleetState state(observers);
     const gwt::FreshnessLimits limits(settings.updateLimit, settings.drainLimit);
     const gwt::SharingOptions sharingOptions{self, settings.seeds, limits};
+    using Evacuations = gwt::platform::PlatformFeed::Evacuations;
     gwt::platform::PlatformFeed feed(context, timers, metrics, settings.store, self, state,
-                                     limits.watchWait(), limits.backendWatchWait());
+                                     limits.watchWait(), limits.backendWatchWait(),
+                                     settings.hasEvacuations ? Evacuations::Followed
+                                                             : Evacuations::Ignored);
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
     core.setConfigAge([&sharing] { return sharing.registryAge(gwt::Clock::now()); });
     gwt::platform::SettingsWatch watch(timers, path, settings,
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -121,6 +121,24 @@
     applyBackends(effectiveChanges);
 }
 
+void GatewayCore::onEvacuations(const std::set<std::string> &zones)
+{
+    const std::set<std::string> previous = m_backends.evacuatedZones();
+    for (const std::string &zone : zones) {
+        if (!previous.contains(zone))
+            logWarning("zone_evacuated", {{"availability_zone", zone}});
+    }
+    for (const std::string &zone : previous) {
+        if (!zones.contains(zone))
+            logInfo("zone_evacuation_ended", {{"availability_zone", zone}});
+    }
+    m_metrics
+        .gauge("gwt_gateway_evacuated_zones",
+               "Availability zones to whose backend servers nothing is sent")
+        .Set(static_cast<double>(zones.size()));
+    m_backends.setEvacuatedZones(zones);
+}
+
 void GatewayCore::onRegistryRecovery()
 {
     m_registry.startGracePeriod(Clock::now());
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -31,6 +31,8 @@
     void onBackendChanges(const std::vector<BackendChange> &changes) override;
     /// \brief Sets the processes that share connections and budgets, this one included.
     void onMembers(const std::vector<FleetMember> &members) override;
+    /// \brief Sends nothing more to backend servers of \a zones.
+    void onEvacuations(const std::set<std::string> &zones) override;
     /// \brief The registry can be reached again after an outage.
     void onRegistryRecovery() override;
 
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -26,6 +26,7 @@
             {"availability_zone", entry.availabilityZone},
             {"is_draining", entry.isDraining},
             {"is_usable", server.isUsable()},
+            {"is_evacuated", server.isEvacuated()},
             {"is_paused", server.score().isInBackoff(now)},
             {"slots", entry.slots},
             {"connections", server.connections()},
@@ -89,6 +90,10 @@
     for (const FleetMember &member : m_fleetState.members())
         fleet.push_back({{"name", member.name}, {"peer", toString(member.peer)}});
     status["fleet"] = std::move(fleet);
+    json::array zones;
+    for (const std::string &zone : m_core.backends().evacuatedZones())
+        zones.emplace_back(zone);
+    status["evacuated_zones"] = std::move(zones);
     json::array admission;
     for (const AdmissionTable::Bound &bound : m_core.admission().bounds()) {
         admission.push_back({{"first_shard", bound.firstShard},
--- a/src/gateway/backends/BackendFleet.cpp
+++ b/src/gateway/backends/BackendFleet.cpp
@@ -41,6 +41,13 @@
     }
 }
 
+void BackendFleet::setEvacuatedZones(const std::set<std::string> &zones)
+{
+    m_context.evacuatedZones = zones;
+    for (const auto &[service, pool] : m_pools)
+        pool->updateEvacuations();
+}
+
 void BackendFleet::setConnectionLimits(const RouteTable &routes, int fleetSize)
 {
     for (const ServiceSpec &service : routes.config().services) {
--- a/src/gateway/backends/BackendFleet.h
+++ b/src/gateway/backends/BackendFleet.h
@@ -22,6 +22,9 @@
         return m_pools;
     }
     void apply(const std::vector<BackendChange> &changes);
+    /// \brief Sets the availability zones to whose servers nothing more is sent.
+    void setEvacuatedZones(const std::set<std::string> &zones);
+    const std::set<std::string> &evacuatedZones() const { return m_context.evacuatedZones; }
     /// \brief Applies the connection limits of \a routes, divided among \a fleetSize processes.
     void setConnectionLimits(const RouteTable &routes, int fleetSize);
     void setRetryBudgetRules(RetryBudgetRules rules);
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -23,7 +23,13 @@
     void setEntry(const BackendEntry &entry) { m_entry = entry; }
     /// \brief Stops new work: the server is leaving or gone, or its address belongs to another one.
     void retire() { m_isRetired = true; }
-    bool isUsable() const { return !m_isRetired && !m_entry.isDraining && !m_hold.isLeaving(); }
+    /// \brief Whether nothing may be sent to the server because its availability zone is evacuated.
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
+    bool isEvacuated() const { return m_isEvacuated; }
+    bool isUsable() const
+    {
+        return !m_isRetired && !m_isEvacuated && !m_entry.isDraining && !m_hold.isLeaving();
+    }
 
     /// \brief True if requests may be sent at \a now, unless too many others are in flight.
     bool acceptsWork(TimePoint now) const
@@ -89,6 +95,7 @@
     TimePoint m_connectBackoffUntil; ///< epoch: the server was never at its limit
     Duration m_connectBackoff{0};
     bool m_isRetired = false;
+    bool m_isEvacuated = false;
     bool m_echoesIds = false;
     bool m_hasAnonymousRefusals = false;
 };
--- a/src/gateway/backends/PoolContext.h
+++ b/src/gateway/backends/PoolContext.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <set>
 #include <string>
 
 namespace gwt {
@@ -22,6 +23,7 @@
     std::string availabilityZone; ///< of this process
     ByteBudget &replyBytes; ///< for the bodies of all replies that are being received
     HoldTracker &holds;
+    std::set<std::string> evacuatedZones = {}; ///< to whose servers nothing may be sent
 };
 
 } // namespace gwt
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -51,11 +51,28 @@
         server = std::make_shared<BackendServer>(entry);
         m_context.holds.restore(*server);
     }
+    updateEvacuation(*server);
     if (entry.isDraining)
         server->closeIdleConnections();
     dispatch();
 }
 
+void ServicePool::updateEvacuation(BackendServer &server)
+{
+    server.setEvacuated(m_context.evacuatedZones.contains(server.entry().availabilityZone));
+    if (server.isEvacuated())
+        server.closeIdleConnections();
+}
+
+void ServicePool::updateEvacuations()
+{
+    for (const auto &[id, server] : m_servers)
+        updateEvacuation(*server);
+    // Queued attempts may have no server left. A handler may create a pool while the pools are
+    // iterated, so it must not run now.
+    boost::asio::post(m_context.ioContext, [this] { dispatch(); });
+}
+
 void ServicePool::removeServer(const std::string &id)
 {
     const auto server = m_servers.find(id);
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -22,6 +22,8 @@
 
     void setServer(const BackendEntry &entry);
     void removeServer(const std::string &id);
+    /// \brief Applies a change of the evacuated availability zones in the context.
+    void updateEvacuations();
     /// \brief Sets how many connections this process may hold to each backend server. Idle ones
     /// beyond that are closed now, those in use once they are idle.
     void setConnectionShare(int connections);
@@ -63,6 +65,7 @@
     };
 
     void removeInstance(BackendServer &server);
+    void updateEvacuation(BackendServer &server);
     void dispatch();
     bool isCandidate(const BackendServer &server, const std::vector<std::string> &excluded,
                      TimePoint now) const;
--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -123,6 +123,18 @@
     notifyUpdate();
 }
 
+void FleetState::setEvacuations(const std::set<std::string> &zones, std::uint64_t revision)
+{
+    if (revision < m_evacuationRevision)
+        return;
+    m_evacuationRevision = revision;
+    if (zones == m_evacuations)
+        return;
+    m_evacuations = zones;
+    m_observer.onEvacuations(m_evacuations);
+    notifyUpdate();
+}
+
 void FleetState::recordRegistryRecovery(TimePoint now)
 {
     m_recoveredAt = now;
@@ -133,7 +145,8 @@
 {
     return configVersion() > request.config_version()
         || m_backendRevision > request.backend_revision()
-        || m_memberRevision > request.member_revision();
+        || m_memberRevision > request.member_revision()
+        || (request.takes_evacuations() && m_evacuationRevision > request.evacuation_revision());
 }
 
 wire::FleetStateRequest FleetState::buildRequest(Milliseconds wait) const
@@ -144,6 +157,8 @@
     request.set_member_revision(m_rejected.members ? 0 : m_memberRevision);
     request.set_wait_ms(wait.count());
     request.set_takes_differences(true);
+    request.set_evacuation_revision(m_evacuationRevision);
+    request.set_takes_evacuations(true);
     return request;
 }
 
@@ -198,6 +213,10 @@
     reply.set_member_revision(m_memberRevision);
     if (m_memberRevision > request.member_revision())
         encodeMembers(request, reply);
+    if (request.takes_evacuations() && m_evacuationRevision > request.evacuation_revision()) {
+        reply.set_evacuation_revision(m_evacuationRevision);
+        reply.mutable_evacuated_zones()->Assign(m_evacuations.begin(), m_evacuations.end());
+    }
     if (m_recoveredAt && now - *m_recoveredAt < recoveryReportPeriod) {
         reply.set_registry_returned_ms(
             std::chrono::duration_cast<Milliseconds>(now - *m_recoveredAt).count());
@@ -223,6 +242,10 @@
         applyMembers(reply);
     else
         m_rejected.members = false;
+    if (reply.evacuation_revision() > m_evacuationRevision) {
+        const auto &zones = reply.evacuated_zones();
+        setEvacuations({zones.begin(), zones.end()}, reply.evacuation_revision());
+    }
     return !m_rejected.config && !m_rejected.backends && !m_rejected.members;
 }
 
--- a/src/gateway/sharing/FleetState.h
+++ b/src/gateway/sharing/FleetState.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace gwt {
@@ -23,6 +25,8 @@
     /// \brief A batch of changes, oldest first.
     virtual void onBackendChanges(const std::vector<BackendChange> &changes) = 0;
     virtual void onMembers(const std::vector<FleetMember> &members) = 0;
+    /// \brief Nothing more may be sent to backend servers of these availability zones.
+    virtual void onEvacuations(const std::set<std::string> & /*zones*/) { }
     /// \brief The registry answers again after an outage, during which entries may have expired.
     virtual void onRegistryRecovery() = 0;
 };
@@ -50,6 +54,9 @@
     /// servers register within a second, and the cost of an update grows with the fleet.
     void applyBackendChanges(const std::vector<BackendChange> &changes, std::uint64_t revision);
     void setMembers(const std::vector<FleetMember> &members, std::uint64_t revision);
+    /// \brief Replaces the evacuated availability zones by those at \a revision, unless a newer set
+    /// is held.
+    void setEvacuations(const std::set<std::string> &zones, std::uint64_t revision);
     void recordRegistryRecovery(TimePoint now);
 
     /// \brief Builds the reply to \a request; the registry last answered \a registryAge ago.
@@ -65,6 +72,8 @@
     /// \brief All processes, by name.
     const std::vector<FleetMember> &members() const { return m_members; }
     std::uint64_t memberRevision() const { return m_memberRevision; }
+    /// \brief Availability zones to whose backend servers nothing more may be sent.
+    const std::set<std::string> &evacuations() const { return m_evacuations; }
     std::uint64_t configVersion() const { return m_configs.current().version; }
     std::uint64_t backendRevision() const { return m_backendRevision; }
     /// \brief All registered backend servers, by id.
@@ -98,6 +107,8 @@
     std::vector<FleetMember> m_members;
     VersionedSet m_memberSet;
     std::uint64_t m_memberRevision = 0;
+    std::set<std::string> m_evacuations;
+    std::uint64_t m_evacuationRevision = 0;
     RejectedParts m_rejected;
     std::optional<TimePoint> m_recoveredAt; ///< end of the registry's last outage
 };
--- a/src/gateway/sharing/StateObservers.h
+++ b/src/gateway/sharing/StateObservers.h
@@ -34,6 +34,11 @@
         for (StateObserver *observer : m_observers)
             observer->onMembers(members);
     }
+    void onEvacuations(const std::set<std::string> &zones) override
+    {
+        for (StateObserver *observer : m_observers)
+            observer->onEvacuations(zones);
+    }
     void onRegistryRecovery() override
     {
         for (StateObserver *observer : m_observers)
--- a/test/PlatformDecoderTest.cpp
+++ b/test/PlatformDecoderTest.cpp
@@ -357,6 +357,34 @@
     EXPECT_EQ(valueOf(parsed).updateLimit, 3s);
 }
 
+struct PoliciesCase
+{
+    std::string name;
+    std::string line; ///< at the start of the file
+    bool hasEvacuations;
+};
+
+class PoliciesTest : public testing::TestWithParam<PoliciesCase>
+{ };
+
+// Guards against store calls in deployments that have no evacuations, and against a process that
+// does not start because of a list that it does not know.
+TEST_P(PoliciesTest, placesAsksForEvacuations)
+{
+    const auto parsed = parsePlatformSettings(GetParam().line + goodSettings, "node.toml");
+    ASSERT_TRUE(isOk(parsed)) << errorOf(parsed).detail;
+    EXPECT_EQ(valueOf(parsed).hasEvacuations, GetParam().hasEvacuations);
+}
+
+INSTANTIATE_TEST_SUITE_P(Lists, PoliciesTest,
+                         testing::Values(PoliciesCase{"missing", "", false},
+                                         PoliciesCase{"empty", "policies = []\n", false},
+                                         PoliciesCase{"others", "policies = [\"a\", 5]\n", false},
+                                         PoliciesCase{"places", "policies = [\"a\", \"places\"]\n",
+                                                      true},
+                                         PoliciesCase{"noList", "policies = \"places\"\n", false}),
+                         [](const auto &info) { return info.param.name; });
+
 struct FractionCase
 {
     std::string name;
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -167,6 +167,80 @@
     feed.stopWatching();
 }
 
+/// A process that follows the evacuations, or does not.
+class EvacuationFeedTest : public PlatformFeedTest
+{
+protected:
+    using Evacuations = platform::PlatformFeed::Evacuations;
+
+    platform::PlatformFeed makeFeed(Evacuations evacuations)
+    {
+        return {m_context, m_timers, m_metrics, m_store,    {"host-a", {"127.0.0.1", 1}, "north"},
+                m_state,   600ms,    1s,        evacuations};
+    }
+    void evacuate(const std::string &zone)
+    {
+        m_platform.data().overwrite("evacuations", zone, boost::json::object{});
+    }
+    bool zonesBecome(const std::set<std::string> &zones, Duration limit)
+    {
+        return runUntil(
+            m_context, [&] { return m_state.evacuations() == zones; }, limit);
+    }
+};
+
+// A change must be in force within 5 s on all hosts, so the first ones need it sooner.
+TEST_F(EvacuationFeedTest, evacuationsBeginAndEndWithTheirObjects)
+{
+    evacuate("north");
+    platform::PlatformFeed feed = makeFeed(Evacuations::Followed);
+    feed.startWatching();
+    EXPECT_TRUE(zonesBecome({"north"}, 1s));
+    evacuate("south");
+    EXPECT_TRUE(zonesBecome({"north", "south"}, 1s));
+    m_platform.data().remove("evacuations", "north", std::nullopt);
+    EXPECT_TRUE(zonesBecome({"south"}, 1s));
+}
+
+// A process without the store does not know of the end, and the zone may be about to lose power.
+TEST_F(EvacuationFeedTest, aProcessThatHasLostTheStoreKeepsTheLastSet)
+{
+    platform::PlatformFeed feed = makeFeed(Evacuations::Followed);
+    feed.startWatching();
+    evacuate("north");
+    ASSERT_TRUE(zonesBecome({"north"}, 1s));
+    PlatformFaults faults;
+    faults.isDown = true;
+    m_platform.setFaults(faults);
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return feed.isLost(); }, 3s));
+    EXPECT_FALSE(zonesBecome({}, 1s));
+}
+
+// Guards against sends to an evacuated zone between the return of the store and the operator's
+// repeated write, and against an evacuation that is kept for ever.
+TEST_F(EvacuationFeedTest, anEvacuationThatTheStoreHasLostIsKeptForAWhile)
+{
+    platform::PlatformFeed feed = makeFeed(Evacuations::Followed);
+    feed.startWatching();
+    evacuate("north");
+    ASSERT_TRUE(zonesBecome({"north"}, 1s));
+    const std::uint64_t revision = m_platform.data().revision();
+    m_platform.returnFromCopy(1min);
+    ASSERT_LT(m_platform.data().revision(), revision);
+    EXPECT_FALSE(zonesBecome({}, 1500ms));
+    EXPECT_TRUE(zonesBecome({}, 2s));
+}
+
+// The calls of the store are limited, and other deployments have no such objects.
+TEST_F(EvacuationFeedTest, evacuationsAreNotReadUnlessTheSettingsAskForThem)
+{
+    evacuate("north");
+    platform::PlatformFeed feed = makeFeed(Evacuations::Ignored);
+    feed.startWatching();
+    EXPECT_FALSE(zonesBecome({"north"}, 500ms));
+}
+
 // Guards against members that are no longer registered after the store lost their objects, against
 // an older configuration, and against states that count as older because their revisions are lower.
 TEST_F(PlatformFeedTest, afterAReturnFromAnOlderCopyTheListingHoldsAndThisProcessRegistersAgain)
--- a/test/StateDeltaTest.cpp
+++ b/test/StateDeltaTest.cpp
@@ -20,10 +20,12 @@
     void onBackends(const std::vector<BackendEntry> &) override { ++listingCount; }
     void onBackendChanges(const std::vector<BackendChange> &) override { }
     void onMembers(const std::vector<FleetMember> &) override { }
+    void onEvacuations(const std::set<std::string> &) override { ++evacuationCount; }
     void onRegistryRecovery() override { }
 
     RoutingConfig lastConfig;
     int listingCount = 0;
+    int evacuationCount = 0;
 };
 
 Route makeRoute(int number, int version)
@@ -354,5 +356,29 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, DeltaChainTest, testing::Range(1U, 9U));
 
+// Without this, hosts that do not follow the store would go on sending to the zone; one of an older
+// version would be answered without a wait for ever.
+TEST(EvacuationSharingTest, theNewestSetReachesProcessesThatTakeIt)
+{
+    StateRecorder observer;
+    FleetState source(observer);
+    source.setEvacuations({"a", "b"}, 7);
+    StateRecorder receiverObserver;
+    FleetState receiver(receiverObserver);
+    const wire::FleetStateRequest first = receiver.buildRequest(0ms);
+    EXPECT_TRUE(source.hasUpdates(first));
+    const wire::FleetStateReply reply = source.buildReply(first, 0ms, start);
+    EXPECT_TRUE(receiver.apply(reply, start));
+    EXPECT_EQ(receiver.evacuations(), (std::set<std::string>{"a", "b"}));
+    EXPECT_FALSE(source.hasUpdates(receiver.buildRequest(0ms)));
+    receiver.setEvacuations({}, 9);
+    receiver.apply(reply, start);
+    EXPECT_TRUE(receiver.evacuations().empty()) << "a late reply";
+    EXPECT_EQ(receiverObserver.evacuationCount, 2);
+    wire::FleetStateRequest older;
+    EXPECT_FALSE(source.hasUpdates(older));
+    EXPECT_EQ(source.buildReply(older, 0ms, start).evacuation_revision(), 0U);
+}
+
 } // namespace
 } // namespace gwt
