--- a/test/KindFeedTest.cpp
+++ b/test/KindFeedTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace gwt::platform {
 namespace {
 
@@ -234,6 +236,27 @@
     EXPECT_EQ(m_recorder.calls(), std::vector<std::string>{"listing:1"});
 }
 
+// Guards against a coordinator that grants after a suspension, in which another has taken its
+// place: the reply that waits in the socket is no proof of what the store holds now.
+TEST_F(KindFeedTest, aReplyReadAfterASuspensionIsNoRecentProof)
+{
+    TimePoint watchedAt;
+    ScriptedServer server(m_context, m_timers, [&](const ServerRequest &request) {
+        if (!isWatch(request))
+            return json(onePage);
+        if (watchedAt != TimePoint())
+            return ScriptedReply{};
+        watchedAt = Clock::now();
+        // Stops the event loop, which the feed and the server share.
+        std::this_thread::sleep_for(timing.watchWait + timing.replyMargin - 100ms);
+        return json(R"({"events":[],"asOf":5})");
+    });
+    follow(server);
+    ASSERT_TRUE(test::runUntil(m_context, [&] { return server.requests().size() == 3; }));
+    EXPECT_EQ(m_recorder.calls(), std::vector<std::string>{"listing:1"});
+    EXPECT_LE(m_feed->provenAt(), watchedAt + timing.watchWait);
+}
+
 ScriptedReply jsonOfEra(int era, const std::string &body)
 {
     return {httpResponse(200, "Store-Era: " + std::to_string(era) + "\r\n", body)};
