--- a/src/common/Common.h
+++ b/src/common/Common.h
@@ -20,6 +20,7 @@
 #include "common/Settings.h"
 #include "common/Sleep.h"
 #include "common/StallDetector.h"
+#include "common/StoreRevision.h"
 #include "common/Task.h"
 #include "common/Time.h"
 #include "common/Timer.h"
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayStatus.h"
 
+#include "common/StoreRevision.h"
+
 namespace gwt {
 
 namespace json = boost::json;
@@ -24,6 +26,7 @@
             {"availability_zone", entry.availabilityZone},
             {"is_draining", entry.isDraining},
             {"is_usable", server.isUsable()},
+            {"is_evacuated", server.isEvacuated()},
             {"is_paused", server.score().isInBackoff(now)},
             {"slots", entry.slots},
             {"connections", server.connections()},
@@ -75,8 +78,9 @@
     status["state"] = isStopping ? "draining" : running;
     status["config"] = {{"version", m_core.configVersion()},
                         {"applied_ms_ago", milliseconds(now - m_core.configAppliedAt())}};
-    status["registry"]
-        = {{"revision", m_fleetState.backendRevision()}, {"is_watcher", m_sharing.isWatching()}};
+    status["registry"] = {{"revision", ownStoreRevisionOf(m_fleetState.backendRevision())},
+                          {"era", storeEraOf(m_fleetState.backendRevision())},
+                          {"is_watcher", m_sharing.isWatching()}};
     const bool hasRegistryState = m_fleetState.backendRevision() > 0;
     if (hasRegistryState) {
         const auto age = milliseconds(m_sharing.registryAge(now));
@@ -86,6 +90,10 @@
     for (const FleetMember &member : m_fleetState.members())
         fleet.push_back({{"name", member.name}, {"peer", toString(member.peer)}});
     status["fleet"] = std::move(fleet);
+    json::array zones;
+    for (const std::string &zone : m_core.backends().evacuatedZones())
+        zones.emplace_back(zone);
+    status["evacuated_zones"] = std::move(zones);
     json::array admission;
     for (const AdmissionTable::Bound &bound : m_core.admission().bounds()) {
         admission.push_back({{"first_shard", bound.firstShard},
--- a/src/gateway/sharing/FleetState.cpp
+++ b/src/gateway/sharing/FleetState.cpp
@@ -1,6 +1,7 @@
 #include "gateway/sharing/FleetState.h"
 
 #include "common/Log.h"
+#include "common/StoreRevision.h"
 #include "gateway/sharing/StateCodec.h"
 
 #include <algorithm>
@@ -71,6 +72,9 @@
 {
     if (revision < m_backendRevision)
         return;
+    // Entries that are missing in an older copy of the registry are about to be written again.
+    if (m_backendRevision > 0 && storeEraOf(revision) > storeEraOf(m_backendRevision))
+        m_observer.onRegistryRecovery();
     m_rejected.backends = false;
     VersionedSet::Digests digests;
     m_entries.clear();
@@ -119,6 +123,18 @@
     notifyUpdate();
 }
 
+void FleetState::setEvacuations(const std::set<std::string> &zones, std::uint64_t revision)
+{
+    if (revision < m_evacuationRevision)
+        return;
+    m_evacuationRevision = revision;
+    if (zones == m_evacuations)
+        return;
+    m_evacuations = zones;
+    m_observer.onEvacuations(m_evacuations);
+    notifyUpdate();
+}
+
 void FleetState::recordRegistryRecovery(TimePoint now)
 {
     m_recoveredAt = now;
@@ -129,7 +145,8 @@
 {
     return configVersion() > request.config_version()
         || m_backendRevision > request.backend_revision()
-        || m_memberRevision > request.member_revision();
+        || m_memberRevision > request.member_revision()
+        || (request.takes_evacuations() && m_evacuationRevision > request.evacuation_revision());
 }
 
 wire::FleetStateRequest FleetState::buildRequest(Milliseconds wait) const
@@ -140,6 +157,8 @@
     request.set_member_revision(m_rejected.members ? 0 : m_memberRevision);
     request.set_wait_ms(wait.count());
     request.set_takes_differences(true);
+    request.set_evacuation_revision(m_evacuationRevision);
+    request.set_takes_evacuations(true);
     return request;
 }
 
@@ -194,6 +213,10 @@
     reply.set_member_revision(m_memberRevision);
     if (m_memberRevision > request.member_revision())
         encodeMembers(request, reply);
+    if (request.takes_evacuations() && m_evacuationRevision > request.evacuation_revision()) {
+        reply.set_evacuation_revision(m_evacuationRevision);
+        reply.mutable_evacuated_zones()->Assign(m_evacuations.begin(), m_evacuations.end());
+    }
     if (m_recoveredAt && now - *m_recoveredAt < recoveryReportPeriod) {
         reply.set_registry_returned_ms(
             std::chrono::duration_cast<Milliseconds>(now - *m_recoveredAt).count());
@@ -219,6 +242,10 @@
         applyMembers(reply);
     else
         m_rejected.members = false;
+    if (reply.evacuation_revision() > m_evacuationRevision) {
+        const auto &zones = reply.evacuated_zones();
+        setEvacuations({zones.begin(), zones.end()}, reply.evacuation_revision());
+    }
     return !m_rejected.config && !m_rejected.backends && !m_rejected.members;
 }
 
--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "common/Sleep.h"
+#include "common/StoreRevision.h"
 #include "peer/PeerCodec.h"
 
 #include <algorithm>
@@ -87,10 +88,15 @@
         m_tree.setMembers(members);
         m_reaper.setMembers(members);
     }
+    checkMembership(Clock::now());
+}
+
+void StateSharing::checkMembership(TimePoint now)
+{
+    const std::vector<FleetMember> &members = m_state.members();
     const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &member) {
         return member.name == m_options.self.name;
     });
-    const TimePoint now = Clock::now();
     if (isMember || members.empty() || now - m_joinedAt < m_options.minJoinInterval)
         return;
     logWarning("membership_lost", {{"members", members.size()}});
@@ -204,6 +210,10 @@
         const char *reason = isStale ? "stale" : "current";
         setWatching(isWatcher || isStale, isWatcher ? "order" : reason);
         logFreshness(now);
+        // A store that returns from an older copy loses registrations that were made just before.
+        // No further update may come once they are due again.
+        if (storeEraOf(m_state.memberRevision()) > 0)
+            checkMembership(now);
         if (candidates.empty()) {
             co_await sleepFor(watchCheckInterval);
             continue;
--- a/test/LeaseFeedTest.cpp
+++ b/test/LeaseFeedTest.cpp
@@ -27,7 +27,7 @@
         return ScriptedReply{httpResponse(200, "", R"({"events":[],"asOf":5})"), 300ms};
     });
     LeaseFeed feed(context, timers, metrics, server.endpoint());
-    feed.startWatching([](const LeaseTable &, std::uint64_t) {});
+    feed.startWatching([](const LeaseTable &, std::uint64_t) {}, [] {});
     ASSERT_TRUE(test::runUntil(context, [&] { return watches.size() == 2; }));
     EXPECT_LE(feed.provenAt(), watches[0]);
     EXPECT_GE(feed.provenAt(), watches[0] - 100ms);
--- a/test/PlatformFeedTest.cpp
+++ b/test/PlatformFeedTest.cpp
@@ -19,7 +19,11 @@
     void onBackends(const std::vector<BackendEntry> &) override { }
     void onBackendChanges(const std::vector<BackendChange> &) override { }
     void onMembers(const std::vector<FleetMember> &) override { }
-    void onRegistryRecovery() override { }
+    void onRegistryRecovery() override { ++m_recoveries; }
+    int recoveries() const { return m_recoveries; }
+
+private:
+    int m_recoveries = 0;
 };
 
 class PlatformFeedTest : public testing::Test
@@ -51,6 +55,7 @@
             m_context, [&] { return m_state.members().size() == count; }, 10s);
     }
 
+    const TimePoint m_startedAt = Clock::now();
     boost::asio::io_context m_context;
     TimerQueue m_timers{m_context};
     Metrics m_metrics;
@@ -162,6 +167,110 @@
     feed.stopWatching();
 }
 
+/// A process that follows the evacuations, or does not.
+class EvacuationFeedTest : public PlatformFeedTest
+{
+protected:
+    using Evacuations = platform::PlatformFeed::Evacuations;
+
+    platform::PlatformFeed makeFeed(Evacuations evacuations)
+    {
+        return {m_context, m_timers, m_metrics, m_store,    {"host-a", {"127.0.0.1", 1}, "north"},
+                m_state,   600ms,    1s,        evacuations};
+    }
+    void evacuate(const std::string &zone)
+    {
+        m_platform.data().overwrite("evacuations", zone, boost::json::object{});
+    }
+    bool zonesBecome(const std::set<std::string> &zones, Duration limit)
+    {
+        return runUntil(
+            m_context, [&] { return m_state.evacuations() == zones; }, limit);
+    }
+};
+
+// A change must be in force within 5 s on all hosts, so the first ones need it sooner.
+TEST_F(EvacuationFeedTest, evacuationsBeginAndEndWithTheirObjects)
+{
+    evacuate("north");
+    platform::PlatformFeed feed = makeFeed(Evacuations::Followed);
+    feed.startWatching();
+    EXPECT_TRUE(zonesBecome({"north"}, 1s));
+    evacuate("south");
+    EXPECT_TRUE(zonesBecome({"north", "south"}, 1s));
+    m_platform.data().remove("evacuations", "north", std::nullopt);
+    EXPECT_TRUE(zonesBecome({"south"}, 1s));
+}
+
+// A process without the store does not know of the end, and the zone may be about to lose power.
+TEST_F(EvacuationFeedTest, aProcessThatHasLostTheStoreKeepsTheLastSet)
+{
+    platform::PlatformFeed feed = makeFeed(Evacuations::Followed);
+    feed.startWatching();
+    evacuate("north");
+    ASSERT_TRUE(zonesBecome({"north"}, 1s));
+    PlatformFaults faults;
+    faults.isDown = true;
+    m_platform.setFaults(faults);
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return feed.isLost(); }, 3s));
+    EXPECT_FALSE(zonesBecome({}, 1s));
+}
+
+// Guards against sends to an evacuated zone between the return of the store and the operator's
+// repeated write, and against an evacuation that is kept for ever.
+TEST_F(EvacuationFeedTest, anEvacuationThatTheStoreHasLostIsKeptForAWhile)
+{
+    platform::PlatformFeed feed = makeFeed(Evacuations::Followed);
+    feed.startWatching();
+    evacuate("north");
+    ASSERT_TRUE(zonesBecome({"north"}, 1s));
+    const std::uint64_t revision = m_platform.data().revision();
+    m_platform.returnFromCopy(1min);
+    ASSERT_LT(m_platform.data().revision(), revision);
+    EXPECT_FALSE(zonesBecome({}, 1500ms));
+    EXPECT_TRUE(zonesBecome({}, 2s));
+}
+
+// The calls of the store are limited, and other deployments have no such objects.
+TEST_F(EvacuationFeedTest, evacuationsAreNotReadUnlessTheSettingsAskForThem)
+{
+    evacuate("north");
+    platform::PlatformFeed feed = makeFeed(Evacuations::Ignored);
+    feed.startWatching();
+    EXPECT_FALSE(zonesBecome({"north"}, 500ms));
+}
+
+// Guards against members that are no longer registered after the store lost their objects, against
+// an older configuration, and against states that count as older because their revisions are lower.
+TEST_F(PlatformFeedTest, afterAReturnFromAnOlderCopyTheListingHoldsAndThisProcessRegistersAgain)
+{
+    m_platform.data().overwrite("config", "main",
+                                {{"version", 3}, {"routes", boost::json::array()}});
+    runUntil(
+        m_context, [] { return false; }, 300ms);
+    m_platform.data().overwrite("config", "main",
+                                {{"version", 4}, {"routes", boost::json::array()}});
+    m_platform.data().overwrite("gateways", "host-b", {{"peer", "127.0.0.1:2"}});
+    ASSERT_TRUE(joinAndRegister());
+    m_feed.startWatching();
+    ASSERT_TRUE(membersBecome(2));
+    ASSERT_TRUE(runUntil(
+        m_context, [&] { return m_state.configVersion() == 4 && m_state.backendRevision() > 0; },
+        2s));
+    const std::uint64_t revision = m_platform.data().revision();
+    const auto age = std::chrono::ceil<Milliseconds>(Clock::now() - m_startedAt) - 200ms;
+    m_platform.returnFromCopy(age);
+    ASSERT_LT(m_platform.data().revision(), revision);
+    ASSERT_FALSE(isRegistered("host-a"));
+    EXPECT_TRUE(membersBecome(1));
+    EXPECT_TRUE(runUntil(
+        m_context, [&] { return isRegistered("host-a"); }, 3s));
+    EXPECT_EQ(m_state.members().front().name, "host-a");
+    EXPECT_EQ(m_state.configVersion(), 4U);
+    EXPECT_GT(m_observer.recoveries(), 0);
+}
+
 TEST_F(PlatformFeedTest, removedRegistrationIsRestoredByRejoining)
 {
     ASSERT_TRUE(joinAndRegister());
--- a/test/QuotaServiceTest.cpp
+++ b/test/QuotaServiceTest.cpp
@@ -14,7 +14,7 @@
 class MemoryLeaseStore : public LeaseStore
 {
 public:
-    void startWatching(TableHandler handler) override
+    void startWatching(TableHandler handler, EraHandler) override
     {
         m_handler = std::move(handler);
         notify();
