--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -34,13 +34,14 @@
 
 } // namespace
 
-SoakGateway::SoakGateway(std::string folder, int number, Endpoint store)
+SoakGateway::SoakGateway(std::string folder, int number, Endpoint store, std::string extraSettings)
     : m_folder(std::move(folder))
     , m_name("gateway-" + std::to_string(number))
     , m_store(std::move(store))
     , m_callers(ownLoopbackAddress(number), 7001)
     , m_readiness(ownLoopbackAddress(number), 7002)
     , m_peer(ownLoopbackAddress(number), 7003)
+    , m_extraSettings(std::move(extraSettings))
 { }
 
 SoakGateway::~SoakGateway()
@@ -66,7 +67,8 @@
                                      "retryBudgetExtra = "
                                   << extraRepeats << "\nconfigApplyMs = " << s_updateLimit.count()
                                   << "\n[platform]\naddress = " << quoted(m_store)
-                                  << "\nreadsPerS = 2000\n";
+                                  << "\nreadsPerS = 2000\n"
+                                  << m_extraSettings;
 }
 
 void SoakGateway::reload()
--- a/test/soak/SoakGateway.h
+++ b/test/soak/SoakGateway.h
@@ -19,8 +19,9 @@
     /// Time within which a configuration must be in force; in the settings.
     static constexpr Milliseconds s_updateLimit{3000};
 
-    /// \brief \a number identifies the gateway within one soak.
-    SoakGateway(std::string folder, int number, Endpoint store);
+    /// \brief \a number identifies the gateway within one soak; \a extraSettings are appended to
+    /// its settings.
+    SoakGateway(std::string folder, int number, Endpoint store, std::string extraSettings = "");
     ~SoakGateway();
     SoakGateway(const SoakGateway &) = delete;
     SoakGateway &operator=(const SoakGateway &) = delete;
@@ -44,6 +45,7 @@
     /// \brief When this gateway was last started, paused, resumed or told to end.
     TimePoint interruptedAt() const { return m_interruptedAt; }
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
     /// \brief Number of starts so far; identifies the incarnation.
     int starts() const { return m_starts; }
     /// \brief Returns the exit status if the process has ended since the last call; -N for signal
@@ -63,6 +65,7 @@
     const Endpoint m_callers;
     const Endpoint m_readiness;
     const Endpoint m_peer;
+    const std::string m_extraSettings;
     std::vector<Endpoint> m_seeds;
     pid_t m_pid = 0;
     int m_starts = 0;
