--- /dev/null
+++ b/src/gateway/memory/HostLimits.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+namespace gwt {
+
+/// \brief What the host of a gateway process allows it, and the shares derived from it.
+struct HostLimits
+{
+    std::size_t memoryMb = 256; ///< of the whole process
+    int maxFds = 0; ///< open descriptors; 0: no limit on connections
+
+    /// \brief Bytes that callers and responses may occupy together.
+    ///
+    /// The program with the state of 675 backend servers takes 15 MB. Half of the rest is left to
+    /// the allocator, to copies while a message is passed on, and to the kernel's buffers.
+    std::size_t budgetBytes() const
+    {
+        constexpr std::size_t programMb = 24;
+        constexpr std::size_t smallestShare = 8;
+        const std::size_t rest = memoryMb > programMb ? (memoryMb - programMb) / 2 : 0;
+        return std::max(rest, memoryMb / smallestShare) << 20U;
+    }
+    /// \brief Bytes of the responses that are being received, which backend servers may send
+    /// without end.
+    std::size_t replyBytes() const
+    {
+        constexpr std::size_t mostMb = 32;
+        constexpr std::size_t share = 5;
+        return std::min(mostMb, std::max<std::size_t>(1, memoryMb / share)) << 20U;
+    }
+    /// \brief Connections of callers; the rest is for backend servers, the store and other hosts.
+    std::size_t maxCallers() const { return static_cast<std::size_t>(maxFds) * 3 / 4; }
+    /// \brief Connections to the address of health and metrics; 0: no limit.
+    std::size_t maxAdminConnections() const
+    {
+        constexpr std::size_t fewest = 16;
+        constexpr std::size_t share = 32;
+        return maxFds == 0 ? 0 : std::max(fewest, static_cast<std::size_t>(maxFds) / share);
+    }
+
+    bool operator==(const HostLimits &) const = default;
+};
+
+} // namespace gwt
