Bound the memory and descriptors that callers can occupy

Cause: each connection could hold a whole body, its copies for the backend server, pipelined bytes and a response, without a common bound; a connection also kept the buffer of its last response while idle (300 held 316 MB).

MemoryBudget is the account of a process, without I/O; CallerMemory carries its decisions out. Beyond three quarters of the budget, connections with more than 16 KB are not read on and stalled ones are ended (408, or closed within a response); beyond seven eighths also active ones, and whole requests that do not fit get 503 with Retry-After. Connections are limited to three quarters of limits.maxFds.

CallerMemoryTest, 64 MB allowed, one run: all 12 cases pass (before: 11 fail), peaks 8 to 37 MB (before: up to 391). MemoryBudgetTest 13 of 13. Also run and green: 17 test programs of the gateway.

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -19,9 +19,6 @@
 /// time.
 constexpr Milliseconds deadlineMargin{15};
 constexpr std::size_t recordBytes = 16;
-/// Memory for replies that are being received, which backend servers may send without end: a fifth
-/// of the memory of a small host.
-constexpr std::size_t maxReplyBytes = 32U << 20U;
 /// Retry-After of a process that is stopping; the others can serve the request at once.
 constexpr Milliseconds stopRetryAfter{20};
 /// Multiple of the typical latency that must be left for a request that may run only once: if it is
@@ -56,10 +53,10 @@
     , m_configAppliedAt(Clock::now())
     , m_fleetSize(m_options.assumedFleetSize)
     , m_registry(m_options.registryRecoveryGrace)
-    , m_replyBytes(maxReplyBytes)
+    , m_memory(m_options.hostLimits)
     , m_holds(headerNames, metrics)
     , m_backends(PoolContext{context, timers, headerNames, metrics, m_options.availabilityZone,
-                             m_replyBytes, m_holds},
+                             m_memory.replies(), m_holds},
                  m_options.retryBudget)
     , m_admission([] { return std::make_unique<AdaptiveAdmission>(); })
     , m_merge(recordBytes)
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "gateway/GatewayOptions.h"
 #include "gateway/forwarding/ForwardingContext.h"
+#include "gateway/memory/MemoryBudget.h"
 #include "gateway/policy/CallerWaitEstimator.h"
 #include "gateway/quota/QuotaGate.h"
 #include "gateway/routing/WeightedSplit.h"
@@ -49,6 +50,8 @@
 
     /// \brief True once requests can be served.
     bool isReady() const { return m_routes && m_hasBackends; }
+    /// \brief The account of the memory held for callers and for responses of backend servers.
+    MemoryBudget &memory() { return m_memory; }
     const RequestLimits &limits() const { return m_limits; }
     const HeaderNames &headerNames() const { return m_headerNames; }
     /// \brief Version of the configuration in force; 0: none.
@@ -85,7 +88,7 @@
     bool m_hasBackends = false;
     int m_fleetSize;
     BackendRegistry m_registry;
-    ByteBudget m_replyBytes;
+    MemoryBudget m_memory;
     HoldTracker m_holds;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Time.h"
+#include "gateway/memory/HostLimits.h"
 #include "gateway/policy/RetryBudget.h"
 
 #include <optional>
@@ -16,6 +17,7 @@
     RetryBudgetRules retryBudget;
     /// Age of the configuration above which API keys are not accepted; without a value they are.
     std::optional<Milliseconds> keyProofLimit = std::nullopt;
+    HostLimits hostLimits = {};
     /// Time after an outage of the registry for which entries that vanished in it are retained.
     Milliseconds registryRecoveryGrace{2000};
     /// Number of processes assumed to share connections and budgets until it is known.
--- a/src/gateway/GatewayProcess.h
+++ b/src/gateway/GatewayProcess.h
@@ -62,6 +62,7 @@
     const GatewayListeners m_listeners;
     Metrics &m_metrics;
     AdminHandler m_adminHandler;
+    CallerMemory m_callerMemory;
     CallerServer m_callerServer;
     CallerServer m_adminServer;
     StallDetector m_stallDetector;
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/callers/CallerConnection.h"
 
 #include "common/Log.h"
+#include "gateway/callers/ConnectionExchange.h"
 #include "gateway/forwarding/Refusal.h"
 
 #include <array>
@@ -18,69 +19,14 @@
 
 /// Limit on buffered bytes of pipelined requests while one is being handled.
 constexpr std::size_t maxPipelinedBytes = 65536;
+/// The same while memory is short: one read, so that a disconnect is still detected.
+constexpr std::size_t fewPipelinedBytes = 4096;
 /// From the connect to the first byte of a request, for a stopping process.
 constexpr Milliseconds firstRequestTime{200};
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 } // namespace
 
-/// A request being handled.
-class CallerConnection::Exchange : public CallerExchange
-{
-public:
-    Exchange(std::shared_ptr<CallerConnection> connection, WireRequest request, TimePoint arrivedAt,
-             Duration networkTime)
-        : m_connection(std::move(connection))
-        , m_request(std::move(request))
-        , m_arrivedAt(arrivedAt)
-        , m_networkTime(networkTime)
-    { }
-
-    const WireRequest &request() const override { return m_request; }
-    TimePoint arrivedAt() const override { return m_arrivedAt; }
-    Duration networkTime() const override { return m_networkTime; }
-    void respond(CallerResponse response) override
-    {
-        m_disconnectHandler = nullptr;
-        m_stopHandler = nullptr;
-        const auto connection = std::exchange(m_connection, nullptr);
-        if (!connection || !connection->isOpen())
-            return;
-        const bool keepAlive = m_request.keepAlive && connection->mayContinue();
-        connection->write(response, m_request.method == "HEAD", keepAlive);
-    }
-    void onDisconnect(std::function<void()> handler) override
-    {
-        if (m_connection)
-            m_disconnectHandler = std::move(handler);
-    }
-    void onStop(std::function<void()> handler) override
-    {
-        if (m_connection)
-            m_stopHandler = std::move(handler);
-    }
-    void notifyStop()
-    {
-        if (const auto handler = std::exchange(m_stopHandler, nullptr))
-            handler();
-    }
-    void notifyDisconnect()
-    {
-        m_stopHandler = nullptr;
-        m_connection.reset();
-        if (const auto handler = std::exchange(m_disconnectHandler, nullptr))
-            handler();
-    }
-
-private:
-    std::shared_ptr<CallerConnection> m_connection; ///< null once answered or disconnected
-    WireRequest m_request;
-    TimePoint m_arrivedAt;
-    Duration m_networkTime;
-    std::function<void()> m_disconnectHandler;
-    std::function<void()> m_stopHandler;
-};
-
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerContext &context)
     : m_socket(std::move(socket))
     , m_context(context)
@@ -93,6 +39,8 @@
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
     m_socket.non_blocking(true, ignored);
+    if (m_context.memory)
+        m_memoryId = m_context.memory->add(weak_from_this());
     awaitRequest();
 }
 
@@ -101,6 +49,8 @@
     m_state = State::Receiving;
     m_hasRequestBytes = false;
     m_transferTimeout.reset();
+    m_requests.shrink(s_keptBufferBytes);
+    updateMemory();
     m_idleSince = Clock::now();
     armTimeout(m_idleSince + m_context.limits.idleTimeout);
     receive();
@@ -127,10 +77,18 @@
 
 void CallerConnection::read()
 {
+    if (m_isReading || m_isPaused || m_state == State::Closed)
+        return;
     const bool isBetweenRequests = m_state == State::Handling || m_state == State::Responding;
-    if (m_isReading || m_state == State::Closed
-        || (isBetweenRequests && m_requests.waitingBytes() >= maxPipelinedBytes))
+    const bool isShort = m_context.memory && m_context.memory->isUnderPressure();
+    if (isBetweenRequests
+        && m_requests.waitingBytes() >= (isShort ? fewPipelinedBytes : maxPipelinedBytes))
         return;
+    if (m_state == State::Receiving && isShort && !m_context.memory->mayRead(m_memoryId)) {
+        m_isPaused = true;
+        m_context.memory->pause(shared_from_this());
+        return;
+    }
     m_isReading = true;
     // Bytes stay in the socket until they are handled, where hasUnreadBytes() sees them.
     m_socket.async_wait(asio::ip::tcp::socket::wait_read,
@@ -159,10 +117,13 @@
     }
     if (m_state != State::Lingering)
         m_requests.append(bytes.data(), count);
-    if (m_state == State::Receiving)
+    if (m_state == State::Receiving) {
+        recordProgress();
         receive();
-    else
-        read();
+        return;
+    }
+    updateMemory();
+    read();
 }
 
 void CallerConnection::receive()
@@ -180,9 +141,13 @@
         return;
     }
     if (status == RequestStream::Status::Complete) {
-        dispatch();
+        if (isAdmitted())
+            dispatch();
+        else
+            refuseForMemory();
         return;
     }
+    updateMemory();
     error_code ignored;
     if (m_requests.takeContinueExpectation())
         m_socket.send(asio::buffer(continueResponse), 0, ignored);
@@ -264,9 +229,12 @@
     if (isFirst)
         m_roundTrip = measureRoundTrip();
     m_state = State::Handling;
+    m_exchangeBytes = forwardedBytes();
     m_currentExchange
         = std::make_shared<Exchange>(shared_from_this(), m_requests.take(), m_arrivedAt,
                                      isFirst ? 2 * *m_roundTrip : *m_roundTrip);
+    recordProgress();
+    updateMemory();
     read();
     const auto exchange = m_currentExchange;
     m_context.handler.handle(exchange);
@@ -287,6 +255,7 @@
         ? m_currentExchange->request().field(m_context.headerNames.requestId)
         : "";
     m_currentExchange.reset();
+    m_exchangeBytes = 0;
     m_state = State::Responding;
     m_output = toWire(response, isHead, keepAlive);
     m_written = 0;
@@ -310,6 +279,9 @@
         return;
     }
     armTransferTimeout(count);
+    if (count > 0)
+        recordProgress();
+    updateMemory();
     m_socket.async_wait(asio::ip::tcp::socket::wait_write,
                         [self = shared_from_this(), keepAlive](const error_code &code) {
                             if (self->m_state == State::Closed)
@@ -323,6 +295,10 @@
 
 void CallerConnection::onWritten(bool keepAlive)
 {
+    // Assigning an empty string would keep the buffer.
+    if (m_output.capacity() > s_keptBufferBytes)
+        std::string().swap(m_output);
+    m_written = 0;
     if (m_isHalfClosed && m_requests.waitingBytes() == 0) {
         close();
         return;
@@ -343,6 +319,8 @@
     // Closing with unread bytes would reset the connection, and the caller could lose the response:
     // keep reading until the caller closes, for a second at most.
     m_state = State::Lingering;
+    m_requests.clear();
+    updateMemory();
     error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     armTimeout(Clock::now() + std::chrono::seconds(1));
@@ -426,6 +404,8 @@
 
 void CallerConnection::close()
 {
+    if (m_context.memory)
+        m_context.memory->remove(m_memoryId);
     m_state = State::Closed;
     m_context.timers.cancel(m_timeout);
     error_code ignored;
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -3,6 +3,7 @@
 #include "common/Metrics.h"
 #include "common/TimerQueue.h"
 #include "gateway/callers/CallerExchange.h"
+#include "gateway/callers/CallerMemory.h"
 #include "gateway/callers/OpenRequest.h"
 #include "gateway/callers/RequestStream.h"
 #include "gateway/forwarding/HeaderNames.h"
@@ -27,6 +28,8 @@
     const HeaderNames &headerNames;
     /// The response to the last request that has arrived closes its connection.
     bool isDraining = false;
+    CallerMemory *memory = nullptr; ///< null: no limit on memory
+    std::size_t maxConnections = 0; ///< open at the same time; 0: no limit
 };
 
 /// \brief One connection of a caller, which handles its requests one after the other.
@@ -34,7 +37,7 @@
 /// Each request is dispatched once and answered once, in the order of arrival. Input is read while
 /// a request is handled, so that a caller that disconnects is detected at once; what is read waits,
 /// up to a limit.
-class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+class CallerConnection : public MemoryHolder, public std::enable_shared_from_this<CallerConnection>
 {
 public:
     CallerConnection(boost::asio::ip::tcp::socket socket, CallerContext &context);
@@ -52,6 +55,17 @@
     /// arrived behind another one count as one.
     void appendOpenRequests(std::vector<OpenRequest> &requests);
 
+    /// \brief Order in which connections are closed to admit others: first those that have been
+    /// answered, then idle ones, then those that send a request or read a response, each the one
+    /// longest without progress first.
+    std::pair<int, TimePoint> closePreference();
+    /// \brief Closes the connection to admit another; false if its request is being handled.
+    bool closeForAnother();
+
+    std::string freeMemory() override;
+    void resumeReading() override;
+    void updateMemory() override;
+
 private:
     class Exchange;
     friend class Exchange;
@@ -63,6 +77,9 @@
         Closed
     };
 
+    /// Buffers up to this size are kept for the next request of the connection.
+    static constexpr std::size_t s_keptBufferBytes = 4096;
+
     bool hasUnreadBytes();
     bool isNew() const;
     /// \brief False if the next response closes the connection.
@@ -86,6 +103,13 @@
     void handleDisconnect();
     void close();
     Duration measureRoundTrip();
+    bool isAdmitted();
+    void recordProgress();
+    std::size_t unreadBytes();
+    /// \brief Bytes that the request that has been received will occupy while it is forwarded.
+    std::size_t forwardedBytes() const;
+    /// \brief Refuses the request that has been received whole, for lack of memory.
+    void refuseForMemory();
 
     boost::asio::ip::tcp::socket m_socket;
     CallerContext &m_context;
@@ -95,13 +119,17 @@
     TimerQueue::Id m_timeout;
     const TimePoint m_connectedAt = Clock::now();
     TimePoint m_idleSince; ///< when the connection began to wait for the next request
+    TimePoint m_progressAt = m_connectedAt; ///< when bytes of a request or response last passed
     TimePoint m_arrivedAt;
     std::optional<Duration> m_roundTrip; ///< to the caller; measured at the first request
     std::optional<TransferTimeout> m_transferTimeout; ///< of a body read or a response written
     std::string m_responseRequestId; ///< id of the request whose response is written
     std::string m_output;
     std::size_t m_written = 0; ///< bytes of m_output that have been sent
+    MemoryBudget::Id m_memoryId = 0;
+    std::size_t m_exchangeBytes = 0; ///< held for the request being handled
     bool m_isReading = false;
+    bool m_isPaused = false; ///< reads nothing until there is memory again
     bool m_isHalfClosed = false; ///< the caller has closed its side while a response was written
     bool m_hasRequestBytes = false; ///< bytes of the next request have arrived
 };
--- a/src/gateway/callers/CallerServer.cpp
+++ b/src/gateway/callers/CallerServer.cpp
@@ -12,6 +12,8 @@
 /// Delay before the next accept after a failed one, as when no file descriptor is free.
 constexpr Milliseconds acceptRetryDelay{20};
 constexpr std::size_t minPruneThreshold = 64;
+/// Part of the limit that is closed at once when it is reached.
+constexpr std::size_t closedShare = 64;
 
 } // namespace
 
@@ -48,6 +50,8 @@
 
 void CallerServer::start(boost::asio::ip::tcp::socket socket)
 {
+    if (!makeRoom())
+        return; // closes the socket
     const auto connection = std::make_shared<CallerConnection>(std::move(socket), m_callerContext);
     m_connections.push_back(connection);
     if (m_connections.size() >= m_pruneThreshold)
@@ -69,6 +73,36 @@
     m_acceptor.close(failure);
 }
 
+bool CallerServer::makeRoom()
+{
+    const std::size_t limit = m_callerContext.maxConnections;
+    if (limit == 0 || m_connections.size() < limit)
+        return true;
+    using Candidate = std::pair<std::pair<int, TimePoint>, std::shared_ptr<CallerConnection>>;
+    std::vector<Candidate> candidates;
+    for (auto &connection : openConnections()) {
+        const auto preference = connection->closePreference();
+        candidates.emplace_back(preference, std::move(connection));
+    }
+    if (candidates.size() < limit)
+        return true;
+    std::sort(candidates.begin(), candidates.end());
+    // Several at once, so that the search isn't repeated for each new connection.
+    const std::size_t wanted = candidates.size() - limit + 1 + limit / closedShare;
+    std::size_t closed = 0;
+    for (const auto &[preference, connection] : candidates) {
+        if (closed < wanted && connection->closeForAnother())
+            ++closed;
+    }
+    m_callerContext.metrics
+        .counter("gwt_gateway_connections_dropped_total",
+                 "Connections closed because the limit on connections was reached")
+        .Increment(static_cast<double>(closed == 0 ? 1 : closed));
+    if (m_logLimiter.allowUnserved(Clock::now()))
+        logInfo("connection_limit", {{"limit", limit}, {"closed", closed}});
+    return closed > 0;
+}
+
 void CallerServer::prune()
 {
     m_connections.remove_if([](const auto &weak) {
--- a/src/gateway/callers/CallerServer.h
+++ b/src/gateway/callers/CallerServer.h
@@ -41,10 +41,13 @@
     void start(boost::asio::ip::tcp::socket socket);
     std::vector<std::shared_ptr<CallerConnection>> openConnections();
     void prune();
+    /// \brief Closes connections if the limit is reached; false if none could be closed.
+    bool makeRoom();
 
     CallerContext m_callerContext;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<CallerConnection>> m_connections;
+    LogRateLimiter m_logLimiter;
     std::size_t m_pruneThreshold = 64; ///< list size at which closed connections are removed
 };
 
--- a/src/gateway/callers/RequestStream.cpp
+++ b/src/gateway/callers/RequestStream.cpp
@@ -93,6 +93,30 @@
     return request;
 }
 
+std::size_t RequestStream::heldBytes() const
+{
+    return m_waiting.capacity()
+        + (m_parser ? m_parser->headBytes() + m_parser->request().body.capacity() : 0);
+}
+
+std::size_t RequestStream::requestBytes() const
+{
+    return m_parser ? m_parser->headBytes() + m_parser->request().body.size() : 0;
+}
+
+void RequestStream::shrink(std::size_t keptBytes)
+{
+    if (m_waiting.size() == 0 && m_waiting.capacity() > keptBytes)
+        m_waiting.shrink_to_fit();
+}
+
+void RequestStream::clear()
+{
+    m_parser.reset();
+    m_waiting.clear();
+    m_waiting.shrink_to_fit();
+}
+
 bool RequestStream::takeContinueExpectation()
 {
     return std::exchange(m_expectsContinue, false);
--- a/src/gateway/callers/RequestStream.h
+++ b/src/gateway/callers/RequestStream.h
@@ -38,6 +38,14 @@
 
     /// \brief Number of bytes that haven't been parsed yet.
     std::size_t waitingBytes() const { return m_waiting.size(); }
+    /// \brief Bytes of memory that the waiting bytes and the next request occupy.
+    std::size_t heldBytes() const;
+    /// \brief Bytes of the next request, as far as it has been parsed.
+    std::size_t requestBytes() const;
+    /// \brief Frees the buffer if it is empty and larger than \a keptBytes.
+    void shrink(std::size_t keptBytes);
+    /// \brief Discards all bytes.
+    void clear();
     /// \brief True if the header of the next request has been parsed.
     bool isHeaderDone() const { return m_parser && m_parser->is_header_done(); }
     /// \brief True once for a request whose sender waits for "100 Continue" before the body.
--- a/src/http/RequestParser.cpp
+++ b/src/http/RequestParser.cpp
@@ -28,15 +28,17 @@
 {
     m_request.method.assign(methodText.data(), methodText.size());
     m_request.target.assign(target.data(), target.size());
+    m_headBytes += methodText.size() + target.size();
 }
 
 void RequestParser::on_response_impl(int, StringView, int, Failure &) { }
 
 void RequestParser::on_field_impl(http::field, StringView nameText, StringView value, Failure &)
 {
-    if (!is_header_done())
-        m_request.fields.push_back(
-            {{nameText.data(), nameText.size()}, {value.data(), value.size()}});
+    if (is_header_done())
+        return;
+    m_request.fields.push_back({{nameText.data(), nameText.size()}, {value.data(), value.size()}});
+    m_headBytes += sizeof(m_request.fields.back()) + nameText.size() + value.size();
 }
 
 void RequestParser::on_header_impl(Failure &failure)
--- a/src/http/RequestParser.h
+++ b/src/http/RequestParser.h
@@ -19,6 +19,8 @@
 
     /// \brief The request as far as it has been parsed.
     const WireRequest &request() const { return m_request; }
+    /// \brief Bytes of memory that the request line and the fields occupy.
+    std::size_t headBytes() const { return m_headBytes; }
     /// \brief Moves the request out; requires is_done().
     WireRequest release();
 
@@ -40,6 +42,7 @@
     void on_finish_impl(Failure &failure) override;
 
     WireRequest m_request;
+    std::size_t m_headBytes = 0;
 };
 
 } // namespace gwt
