--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -35,6 +35,7 @@
     options.retryBudget = retryBudgetRulesOf(settings);
     options.shutdownTimeout = shutdownTimeoutOf(settings);
     options.keyProofLimit = settings.keyProofLimit;
+    options.picker = settings.picker;
     return options;
 }
 
--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -1,3 +1,5 @@
+#include "gateway/backends/LatencyPicker.h"
+#include "gateway/backends/WorkLeftPicker.h"
 #include "membership/Ownership.h"
 #include "relay/ServiceScheduler.h"
 
@@ -101,4 +103,65 @@
 }
 BENCHMARK(BM_HedgeDelay);
 
+/// \brief One of three servers with range(0) requests of this process in flight each.
+struct PickedServer
+{
+    explicit PickedServer(std::int64_t requests)
+        : inFlight(static_cast<int>(requests))
+    {
+        score.record(gwt::SendResult::Served, std::chrono::milliseconds(9),
+                     std::chrono::milliseconds(8), start);
+        work.recordPace(1.1, 1, start);
+        const gwt::CostEstimate cost{std::chrono::milliseconds(8), std::chrono::milliseconds(2),
+                                     gwt::CostSource::Team};
+        for (int i = 0; i < inFlight; ++i)
+            work.begin(static_cast<std::uint64_t>(i), cost, 2, start);
+    }
+
+    gwt::BackendScore score;
+    gwt::ServerWork work;
+    int inFlight;
+};
+
+/// Chooses among three servers as ServicePool does; \a estimate runs once per decision.
+template <typename Picker, typename Estimate>
+void pick(benchmark::State &state, Estimate estimate)
+{
+    const std::vector<PickedServer> servers(3, PickedServer(state.range(0)));
+    const std::unique_ptr<gwt::BackendPicker> picker = std::make_unique<Picker>();
+    const gwt::TimePoint now = start + std::chrono::milliseconds(5);
+    for (auto _ : state) {
+        const gwt::CostEstimate cost = estimate(now);
+        gwt::Duration least = gwt::Duration::max();
+        for (const PickedServer &server : servers) {
+            const gwt::ServerLoad load{
+                server.score, server.work, server.inFlight, 2, std::chrono::milliseconds(5), false};
+            least
+                = std::min(least, picker->expected(load, std::chrono::milliseconds(8), cost, now));
+        }
+        benchmark::DoNotOptimize(least);
+    }
+}
+
+void BM_PickByLatency(benchmark::State &state)
+{
+    pick<gwt::LatencyPicker>(state, [](gwt::TimePoint) { return gwt::CostEstimate(); });
+}
+BENCHMARK(BM_PickByLatency)->Arg(0)->Arg(1)->Arg(2)->Arg(6);
+
+/// Includes the lookup of the estimate among 1000 kinds.
+void BM_PickByWorkLeft(benchmark::State &state)
+{
+    gwt::CostEstimator costs;
+    for (int i = 0; i < 10'000; ++i) {
+        const gwt::CostKind kind("query", "GET", 100, "team" + std::to_string(i % 1000));
+        costs.record(kind, {}, std::chrono::milliseconds(8), start);
+    }
+    const gwt::CostKind kind("query", "GET", 100, "team7");
+    pick<gwt::WorkLeftPicker>(state, [&](gwt::TimePoint now) {
+        return costs.estimate(kind, std::chrono::milliseconds(8), now);
+    });
+}
+BENCHMARK(BM_PickByWorkLeft)->Arg(0)->Arg(1)->Arg(2)->Arg(6);
+
 } // namespace
--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -1,6 +1,8 @@
 #include "gateway/GatewayCore.h"
 
 #include "common/Log.h"
+#include "gateway/backends/LatencyPicker.h"
+#include "gateway/backends/WorkLeftPicker.h"
 #include "gateway/forwarding/Refusal.h"
 #include "gateway/forwarding/ShardQueryRun.h"
 #include "gateway/forwarding/SingleForward.h"
@@ -44,6 +46,18 @@
     return Milliseconds(value);
 }
 
+bool learnsCosts(PickerKind picker)
+{
+    return picker == PickerKind::WorkLeft;
+}
+
+std::unique_ptr<BackendPicker> makePicker(PickerKind picker)
+{
+    if (picker == PickerKind::WorkLeft)
+        return std::make_unique<WorkLeftPicker>();
+    return std::make_unique<LatencyPicker>();
+}
+
 } // namespace
 
 GatewayCore::GatewayCore(boost::asio::io_context &context, TimerQueue &timers,
@@ -58,14 +72,17 @@
     , m_registry(m_options.registryRecoveryGrace)
     , m_replyBytes(maxReplyBytes)
     , m_holds(headerNames, metrics)
+    , m_costs(learnsCosts(m_options.picker) ? std::make_unique<CostEstimator>() : nullptr)
+    , m_costRecorder(m_costs ? std::make_unique<CostRecorder>(*m_costs, metrics) : nullptr)
+    , m_picker(makePicker(m_options.picker))
     , m_backends(PoolContext{context, timers, headerNames, metrics, m_options.availabilityZone,
-                             m_replyBytes, m_holds},
+                             m_replyBytes, m_holds, *m_picker, m_costRecorder.get()},
                  m_options.retryBudget)
     , m_admission([] { return std::make_unique<AdaptiveAdmission>(); })
     , m_merge(recordBytes)
     , m_recorder(metrics)
-    , m_forwarding{timers,  m_backends,  m_hedges, m_delivery, m_admission,
-                   m_merge, headerNames, metrics,  m_recorder, m_fleetSize}
+    , m_forwarding{timers,      m_backends, m_hedges,   m_delivery,  m_admission,  m_merge,
+                   headerNames, metrics,    m_recorder, m_fleetSize, m_costs.get()}
     , m_quota(quota)
     , m_keyProofLimit(m_options.keyProofLimit)
 { }
@@ -88,6 +105,8 @@
     m_admission.retain(*m_routes);
     const std::set<std::string> routeNames = m_routes->routeNames();
     m_hedges.retain(routeNames);
+    if (m_costs)
+        m_costs->retain(routeNames);
     m_callerWaits.retain(routeNames);
     m_weightedSplit.retain(routeNames);
 }
@@ -221,6 +240,12 @@
         forwardedTeam = requestPlan.team ? requestPlan.team->name : std::string();
     requestPlan.request
         = std::make_shared<const ForwardRequest>(request, m_headerNames, forwardedTeam);
+    if (m_costs) {
+        const std::string_view team
+            = requestPlan.team ? requestPlan.team->name : std::string_view();
+        requestPlan.costKind = std::make_shared<const CostKind>(route->name, request.method,
+                                                                request.body.size(), team);
+    }
     checkQuota(std::move(requestPlan));
 }
 
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -57,6 +57,8 @@
     int fleetSize() const { return m_fleetSize; }
     const BackendFleet &backends() const { return m_backends; }
     const AdmissionTable &admission() const { return m_admission; }
+    /// \brief Null unless costs are learned.
+    const CostEstimator *costs() const { return m_costs.get(); }
     /// \brief Sends to backend servers, queued or in flight.
     std::size_t openAttempts() const { return m_backends.openAttempts(); }
 
@@ -87,6 +89,9 @@
     BackendRegistry m_registry;
     ByteBudget m_replyBytes;
     HoldTracker m_holds;
+    const std::unique_ptr<CostEstimator> m_costs; ///< null: costs are not learned
+    const std::unique_ptr<CostRecorder> m_costRecorder; ///< null with m_costs
+    const std::unique_ptr<BackendPicker> m_picker;
     BackendFleet m_backends;
     HedgeTimer m_hedges;
     DeliveryTime m_delivery;
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Time.h"
+#include "gateway/backends/BackendPicker.h"
 #include "gateway/policy/RetryBudget.h"
 
 #include <optional>
@@ -18,6 +19,7 @@
     std::optional<Milliseconds> keyProofLimit = std::nullopt;
     /// Time after an outage of the registry for which entries that vanished in it are retained.
     Milliseconds registryRecoveryGrace{2000};
+    PickerKind picker = PickerKind::Latency;
     /// Number of processes assumed to share connections and budgets until it is known.
     int assumedFleetSize = 8;
     /// Time from the stop signal until idle connections of callers are closed.
--- a/src/gateway/GatewayStatus.cpp
+++ b/src/gateway/GatewayStatus.cpp
@@ -16,6 +16,19 @@
     return {{"allowed", usage.allowed}, {"hedges", usage.hedges}, {"repairs", usage.retries}};
 }
 
+json::object describe(const CostEstimator::RouteSummary &summary)
+{
+    const auto milliseconds
+        = [](Duration time) { return std::chrono::duration<double, std::milli>(time).count(); };
+    const auto samples = static_cast<double>(std::max<std::uint64_t>(1, summary.samples));
+    return {{"samples", summary.samples},
+            {"mean_ms", milliseconds(summary.mean)},
+            {"spread_ms", milliseconds(summary.spread)},
+            {"estimated_ms", milliseconds(summary.estimated) / samples},
+            {"actual_ms", milliseconds(summary.actual) / samples},
+            {"off_by_two", summary.offByTwo}};
+}
+
 json::object describe(const BackendServer &server, TimePoint now)
 {
     const BackendEntry &entry = server.entry();
@@ -93,6 +106,12 @@
                              {"capacity", bound.capacity}});
     }
     status["admission"] = std::move(admission);
+    if (m_core.costs()) {
+        json::object costs;
+        for (const auto &[route, summary] : m_core.costs()->summaries())
+            costs[route] = describe(summary);
+        status["costs"] = std::move(costs);
+    }
     json::array services;
     for (const auto &[service, pool] : m_core.backends().pools())
         services.push_back(summarize(service, *pool, m_core.fleetSize(), now));
@@ -108,8 +127,15 @@
     const auto pool = pools.find(service);
     if (pool != pools.end()) {
         status["summary"] = summarize(service, *pool->second, m_core.fleetSize(), now);
-        for (const auto &[id, server] : pool->second->servers())
-            servers.push_back(describe(*server, now));
+        for (const auto &[id, server] : pool->second->servers()) {
+            json::object described = describe(*server, now);
+            if (m_core.costs()) {
+                const double pace = server->work().pace(now);
+                described["pace"] = pace;
+                described["work_left_ms"] = milliseconds(server->work().workLeft(pace, now));
+            }
+            servers.push_back(std::move(described));
+        }
     }
     status["servers"] = std::move(servers);
     return status;
--- a/src/gateway/backends/BackendAttempt.h
+++ b/src/gateway/backends/BackendAttempt.h
@@ -5,6 +5,7 @@
 #include "gateway/backends/BackendScore.h"
 #include "gateway/forwarding/ForwardRequest.h"
 #include "gateway/forwarding/HeaderNames.h"
+#include "gateway/policy/CostEstimator.h"
 #include "http/ClientConnection.h"
 
 #include <functional>
@@ -65,6 +66,8 @@
     bool isIdempotent = true;
     TimePoint deadline; ///< sent to the backend server, as the time left
     Duration typicalLatency{0}; ///< of attempts of the same route
+    std::shared_ptr<const CostKind> costKind; ///< null: costs are not learned
+    CostEstimate cost;
     std::vector<std::string> excluded; ///< ids of backend servers
     std::string requiredServer; ///< id of the only backend server allowed; empty: any
     Handler handler; ///< empty once nobody waits for the reply
--- a/src/gateway/backends/BackendServer.h
+++ b/src/gateway/backends/BackendServer.h
@@ -3,6 +3,7 @@
 #include "gateway/backends/BackendEntry.h"
 #include "gateway/backends/BackendHold.h"
 #include "gateway/backends/BackendScore.h"
+#include "gateway/backends/ServerWork.h"
 #include "http/ClientConnection.h"
 
 #include <memory>
@@ -35,6 +36,9 @@
     const BackendScore &score() const { return m_score; }
     BackendHold &hold() { return m_hold; }
     const BackendHold &hold() const { return m_hold; }
+    /// \brief Maintained only where costs are learned.
+    ServerWork &work() { return m_work; }
+    const ServerWork &work() const { return m_work; }
 
     /// \brief Returns the most recently used idle connection, or null.
     ///
@@ -83,6 +87,7 @@
     BackendEntry m_entry;
     BackendScore m_score;
     BackendHold m_hold;
+    ServerWork m_work;
     std::vector<std::shared_ptr<ClientConnection>> m_connections;
     std::multiset<TimePoint> m_sentTimes;
     int m_pendingConnects = 0;
--- a/src/gateway/backends/PoolContext.h
+++ b/src/gateway/backends/PoolContext.h
@@ -2,6 +2,8 @@
 
 #include "common/Metrics.h"
 #include "common/TimerQueue.h"
+#include "gateway/backends/BackendPicker.h"
+#include "gateway/backends/CostRecorder.h"
 #include "gateway/backends/HoldTracker.h"
 #include "gateway/forwarding/HeaderNames.h"
 #include "http/ByteBudget.h"
@@ -22,6 +24,8 @@
     std::string availabilityZone; ///< of this process
     ByteBudget &replyBytes; ///< for the bodies of all replies that are being received
     HoldTracker &holds;
+    const BackendPicker &picker;
+    CostRecorder *costs = nullptr; ///< null: costs are not learned
 };
 
 } // namespace gwt
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -1,7 +1,9 @@
 #include "gateway/backends/ServicePool.h"
 
 #include "common/Log.h"
+#include "gateway/backends/CostSample.h"
 #include "gateway/policy/QueueWait.h"
+#include "http/StatusClass.h"
 
 #include <boost/asio/post.hpp>
 
@@ -214,7 +216,8 @@
         auto connection = server->idleConnection(now, maxIdle, mayHaveCarried);
         if (!connection && server->pendingConnects() == 0 && !mayConnect(*server, now))
             continue;
-        Duration cost = expectedLatency(*server, attempt.typicalLatency, now);
+        Duration cost = m_context.picker.expected(loadOf(*server, now), attempt.typicalLatency,
+                                                  attempt.cost, now);
         if (!connection)
             cost += connectCost;
         if (cost < bestCost) {
@@ -225,6 +228,17 @@
     return best;
 }
 
+ServerLoad ServicePool::loadOf(const BackendServer &server, TimePoint now) const
+{
+    const bool isOtherZone = server.entry().availabilityZone != m_context.availabilityZone;
+    return {server.score(),
+            server.work(),
+            server.inFlight(),
+            server.entry().slots,
+            server.oldestAttemptAge(now),
+            isOtherZone};
+}
+
 bool ServicePool::mayConnect(const BackendServer &server, TimePoint now) const
 {
     return now >= server.connectBackoffUntil()
@@ -259,6 +273,10 @@
     attempt->sentAt = now;
     m_context.timers.cancel(attempt->queueTimer);
     choice.server->beginAttempt(now);
+    if (m_context.costs && attempt->costKind) {
+        choice.server->work().begin(attempt->number, attempt->cost, choice.server->entry().slots,
+                                    now);
+    }
     const auto left = std::chrono::duration_cast<Milliseconds>(attempt->deadline - now);
     auto onHead
         = [this, attempt](const WireResponse &head) { return onResponseHead(attempt, head); };
@@ -277,6 +295,13 @@
     if (id != head.end())
         attempt->server->recordEchoedId();
     const TimePoint now = Clock::now();
+    if (m_context.costs) {
+        const auto load = head.find(m_context.headerNames.serverLoad);
+        const auto report
+            = load == head.end() ? std::nullopt : parseLoadReport(std::string_view(load->value()));
+        if (report)
+            attempt->server->work().recordReport(*report, now);
+    }
     const auto until
         = m_context.holds.record(m_service, *attempt->server, head, attempt->request->id(), now);
     if (until)
@@ -343,9 +368,29 @@
         attempt->connection->close();
     if (!reply.isAtConnectionLimit)
         server.score().record(sendResultOf(reply), reply.elapsed, attempt->typicalLatency, now);
+    learnCost(*attempt, reply, now);
     finish(attempt, std::move(reply));
 }
 
+void ServicePool::learnCost(const BackendAttempt &attempt, const AttemptReply &reply, TimePoint now)
+{
+    // Only a full answer costs what the request costs.
+    const bool isLearned = m_context.costs && attempt.costKind
+        && reply.result == AttemptResult::Answered
+        && statusClassOf(reply.response->result_int()) == StatusClass::Successful;
+    if (!isLearned)
+        return;
+    std::vector<double> paces;
+    for (const auto &[id, server] : m_servers)
+        paces.push_back(server->work().pace(now));
+    ServerWork &work = attempt.server->work();
+    const CostSample sample
+        = makeCostSample(reply.elapsed, work.waited(attempt.number, now), attempt.cost.mean,
+                         work.pace(now), medianPace(std::move(paces)));
+    work.recordPace(sample.paceRatio, sample.paceWeight, now);
+    m_context.costs->record(*attempt.costKind, attempt.cost, sample.cost, now);
+}
+
 void ServicePool::release(const std::shared_ptr<BackendAttempt> &attempt)
 {
     m_context.timers.cancel(attempt->deadlineTimer);
@@ -357,6 +402,8 @@
         return;
     }
     attempt->server->endAttempt(attempt->sentAt);
+    if (m_context.costs)
+        attempt->server->work().end(attempt->number, Clock::now());
     if (attempt->connection && !attempt->connection->isOpen())
         attempt->server->removeConnection(attempt->connection.get());
     if (!attempt->server->isUsable())
--- a/src/gateway/forwarding/ForwardingContext.h
+++ b/src/gateway/forwarding/ForwardingContext.h
@@ -24,6 +24,7 @@
     Metrics &metrics;
     RequestRecorder &recorder;
     const int &fleetSize; ///< gateway processes that share the budgets
+    const CostEstimator *costs = nullptr; ///< null: costs are not learned
 };
 
 /// \brief A request to forward, with its route and deadline.
@@ -35,6 +36,7 @@
     const Team *team = nullptr; ///< of the caller; points into \c routes; null: anonymous
     int rank = 0; ///< of the team, else of the route
     std::shared_ptr<const ForwardRequest> request;
+    std::shared_ptr<const CostKind> costKind; ///< null: costs are not learned
     double excess = 1; ///< recent rate of the team in relation to its usual rate
     TimePoint deadline; ///< the earlier of the caller's and the route's
     Duration waitedBefore{0}; ///< estimated time that the caller spent on earlier tries
--- a/src/gateway/forwarding/HeaderNames.h
+++ b/src/gateway/forwarding/HeaderNames.h
@@ -19,6 +19,7 @@
     std::string partSignatures; ///< signatures of the shards in a merged answer
     std::string team; ///< name of the team of the caller, for backend servers
     std::string authorization; ///< carries the API key of a caller
+    std::string serverLoad; ///< load that a backend server reports; empty: none
     std::string missingParts; ///< number of shards that are not in a merged answer
 };
 
--- a/src/gateway/forwarding/ServiceCall.cpp
+++ b/src/gateway/forwarding/ServiceCall.cpp
@@ -47,6 +47,11 @@
     attempt->deadline = m_plan.deadline;
     attempt->typicalLatency
         = m_context.hedges.typicalLatency(m_plan.route->name, m_plan.route->target);
+    if (m_context.costs && m_plan.costKind) {
+        attempt->costKind = m_plan.costKind;
+        attempt->cost
+            = m_context.costs->estimate(*m_plan.costKind, attempt->typicalLatency, Clock::now());
+    }
     if (requiredServer.empty())
         attempt->excluded = m_triedServers;
     attempt->requiredServer = requiredServer;
