--- a/src/gateway/backends/CostRecorder.cpp
+++ b/src/gateway/backends/CostRecorder.cpp
@@ -31,6 +31,7 @@
     if (!isAnswered || !attempt.costKind)
         return;
     std::vector<double> paces;
+    paces.reserve(servers.size());
     for (const auto &[id, server] : servers)
         paces.push_back(server->work().pace(now));
     ServerWork &work = attempt.server->work();
