--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -56,6 +56,7 @@
     options.shutdownTimeout = shutdownTimeoutOf(settings);
     options.keyProofLimit = settings.keyProofLimit;
     options.hostLimits = hostLimitsOf(settings);
+    options.picker = settings.picker;
     return options;
 }
 
--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -231,7 +231,8 @@
         auto connection = server->idleConnection(now, maxIdle, mayHaveCarried);
         if (!connection && server->pendingConnects() == 0 && !mayConnect(*server, now))
             continue;
-        Duration cost = expectedLatency(*server, attempt.typicalLatency, now);
+        Duration cost = m_context.picker.expected(loadOf(*server, now), attempt.typicalLatency,
+                                                  attempt.cost, now);
         if (!connection)
             cost += connectCost;
         if (cost < bestCost) {
@@ -242,6 +243,17 @@
     return best;
 }
 
+ServerLoad ServicePool::loadOf(const BackendServer &server, TimePoint now) const
+{
+    const bool isOtherZone = server.entry().availabilityZone != m_context.availabilityZone;
+    return {server.score(),
+            server.work(),
+            server.inFlight(),
+            server.entry().slots,
+            server.oldestAttemptAge(now),
+            isOtherZone};
+}
+
 bool ServicePool::mayConnect(const BackendServer &server, TimePoint now) const
 {
     return now >= server.connectBackoffUntil()
@@ -276,6 +288,10 @@
     attempt->sentAt = now;
     m_context.timers.cancel(attempt->queueTimer);
     choice.server->beginAttempt(now);
+    if (m_context.costs && attempt->costKind) {
+        choice.server->work().begin(attempt->number, attempt->cost, choice.server->entry().slots,
+                                    now);
+    }
     const auto left = std::chrono::duration_cast<Milliseconds>(attempt->deadline - now);
     auto onHead
         = [this, attempt](const WireResponse &head) { return onResponseHead(attempt, head); };
@@ -294,6 +310,8 @@
     if (id != head.end())
         attempt->server->recordEchoedId();
     const TimePoint now = Clock::now();
+    if (m_context.costs)
+        m_context.costs->readReport(*attempt->server, head, m_context.headerNames, now);
     const auto until
         = m_context.holds.record(m_service, *attempt->server, head, attempt->request->id(), now);
     if (until)
@@ -360,6 +378,8 @@
         attempt->connection->close();
     if (!reply.isAtConnectionLimit)
         server.score().record(sendResultOf(reply), reply.elapsed, attempt->typicalLatency, now);
+    if (m_context.costs)
+        m_context.costs->learn(*attempt, reply, m_servers, now);
     finish(attempt, std::move(reply));
 }
 
@@ -374,6 +394,8 @@
         return;
     }
     attempt->server->endAttempt(attempt->sentAt);
+    if (m_context.costs)
+        attempt->server->work().end(attempt->number, Clock::now());
     if (attempt->connection && !attempt->connection->isOpen())
         attempt->server->removeConnection(attempt->connection.get());
     if (!attempt->server->isUsable())
--- a/src/gateway/backends/ServicePool.h
+++ b/src/gateway/backends/ServicePool.h
@@ -74,6 +74,7 @@
     bool hasCandidate(const BackendAttempt &attempt, TimePoint now) const;
     Duration expectedLatency(const BackendServer &server, Duration typicalLatency,
                              TimePoint now) const;
+    ServerLoad loadOf(const BackendServer &server, TimePoint now) const;
     Choice choose(const BackendAttempt &attempt, TimePoint now);
     /// \brief True if a connection to \a server may be opened, in place of an idle one if need be.
     bool mayConnect(const BackendServer &server, TimePoint now) const;
