Treat a response without a valid status as no response

Cause: the parser accepts any three digits, so a backend server's 000, 099 or 600 was taken for its answer: a request that may run only once passed 600 on, and 000 as the status line 'HTTP/1.1 0'. Change: a status outside 100 to 599 ends the exchange like any other malformed reply: the request may have run, an idempotent one is sent again.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -249,6 +249,11 @@
             return false;
         }
     }
+    // The parser accepts any three digits, but with 000 or 600 there is no response to pass on.
+    if (m_parser->is_header_done() && !isValidStatus(m_parser->get().result_int())) {
+        fail({ErrorCode::Malformed, "bad_reply", "invalid status"});
+        return false;
+    }
     examineHead();
     const std::size_t bodyBytes = m_parser->get().body().size();
     if (bodyBytes > s_freeBodyBytes && !m_body.tryGrowTo(bodyBytes)) {
--- a/src/http/StatusClass.h
+++ b/src/http/StatusClass.h
@@ -18,4 +18,11 @@
     return static_cast<StatusClass>(status / 100);
 }
 
+/// \brief True if HTTP defines a class for \a status, whether or not the code has a name.
+constexpr bool isValidStatus(unsigned status)
+{
+    const StatusClass statusClass = statusClassOf(status);
+    return statusClass >= StatusClass::Informational && statusClass <= StatusClass::ServerError;
+}
+
 } // namespace gwt
--- a/test/UnnamedStatusTest.cpp
+++ b/test/UnnamedStatusTest.cpp
@@ -51,5 +51,69 @@
                     StatusCase{"unknownServerErrorNonIdempotent", "", 599, false, 599, 1}),
     [](const auto &info) { return info.param.name; });
 
+struct InvalidStatusCase
+{
+    std::string name;
+    std::string head; ///< status line, and fields, of the first response
+    bool isIdempotent;
+};
+
+class InvalidStatusTest : public GatewayTest, public testing::WithParamInterface<InvalidStatusCase>
+{
+protected:
+    InvalidStatusTest()
+    {
+        const auto script = [this](const ServerRequest &) {
+            const std::string fields = signatureField + "Content-Length: 16\r\n\r\n";
+            if (++m_sends > 1)
+                return ScriptedReply{okResponse(std::string(16, 'g'))};
+            return ScriptedReply{GetParam().head + fields + std::string(16, 'x'), 0ms, true};
+        };
+        addServer("s", script);
+        addServer("s", script);
+    }
+
+    int m_sends = 0;
+};
+
+// A server in trouble sends a head that is no response of HTTP/1.1. A caller that gets it takes
+// bytes without a meaning for the outcome of its request.
+TEST_P(InvalidStatusTest, itDoesNotReachTheCallerOfASingleRequest)
+{
+    addSingleRoute(GetParam().isIdempotent);
+    start();
+    const auto outcome = exchange(request("/one/1", "X-Deadline-Ms: 600\r\n"));
+    ASSERT_TRUE(isOk(outcome));
+    const WireResponse &response = valueOf(outcome);
+    EXPECT_EQ(response.result_int(), GetParam().isIdempotent ? 200U : 502U);
+    EXPECT_EQ(response.body().find('x'), std::string::npos);
+    EXPECT_EQ(m_sends, GetParam().isIdempotent ? 2 : 1);
+}
+
+TEST_P(InvalidStatusTest, itIsNoPartOfAQuery)
+{
+    addQueryRoute({"s"}, 1);
+    start();
+    const WireResponse response = sendRequest("/all/1", "X-Deadline-Ms: 600\r\n");
+    EXPECT_EQ(response.result_int(), 200U);
+    EXPECT_EQ(response.body(), std::string(16, 'g'));
+    EXPECT_EQ(m_sends, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Heads, InvalidStatusTest,
+    testing::Values(InvalidStatusCase{"zeros", "HTTP/1.1 000 X\r\n", true},
+                    InvalidStatusCase{"zerosNonIdempotent", "HTTP/1.1 000 X\r\n", false},
+                    InvalidStatusCase{"oneDigit", "HTTP/1.1 0 X\r\n", false},
+                    InvalidStatusCase{"twoDigits", "HTTP/1.1 99 X\r\n", false},
+                    InvalidStatusCase{"belowTheFirstClass", "HTTP/1.1 099 X\r\n", false},
+                    InvalidStatusCase{"fourDigits", "HTTP/1.1 2000 X\r\n", false},
+                    InvalidStatusCase{"aboveTheLastClass", "HTTP/1.1 600 X\r\n", false},
+                    InvalidStatusCase{"aboveTheLastClassIdempotent", "HTTP/1.1 999 X\r\n", true},
+                    InvalidStatusCase{"notANumber", "HTTP/1.1 2x0 X\r\n", false},
+                    InvalidStatusCase{"olderVersion", "HTTP/0.9 200 X\r\n", false},
+                    InvalidStatusCase{"noStatusLine", "200 OK\r\n", false}),
+    [](const auto &info) { return info.param.name; });
+
 } // namespace
 } // namespace gwt::test
