Test learned costs through a running gateway

Only the classes had been tested: nothing showed that ServicePool teaches the estimator and frees the work of ended requests. The fixture takes the picker, with latency as before by default.

--- a/test/GatewayFixture.h
+++ b/test/GatewayFixture.h
@@ -28,8 +28,9 @@
 class GatewayTest : public testing::Test
 {
 protected:
-    GatewayTest()
-        : m_core(m_context, m_timers, m_options, m_headerNames, m_metrics)
+    explicit GatewayTest(PickerKind picker = PickerKind::Latency)
+        : m_options(optionsWith(picker))
+        , m_core(m_context, m_timers, m_options, m_headerNames, m_metrics)
         , m_callerServer(m_context,
                          CallerContext{m_timers, m_core, m_metrics, m_core.limits(), m_headerNames})
     {
@@ -38,6 +39,13 @@
         m_config.version = 1;
     }
 
+    static GatewayOptions optionsWith(PickerKind picker)
+    {
+        GatewayOptions options{"host", "z", {0.2, 50, 10s}};
+        options.picker = picker;
+        return options;
+    }
+
     ~GatewayTest() override
     {
         // Requests in progress keep each other alive until their last leg has ended.
@@ -155,7 +163,7 @@
     TimerQueue m_timers{m_context};
     Metrics m_metrics;
     const HeaderNames m_headerNames = platform::platformHeaders();
-    GatewayOptions m_options{"host", "z", {0.2, 50, 10s}};
+    GatewayOptions m_options;
     GatewayCore m_core;
     CallerServer m_callerServer;
     Endpoint m_gatewayEndpoint;
--- a/test/GatewayStatusTest.cpp
+++ b/test/GatewayStatusTest.cpp
@@ -22,8 +22,9 @@
 class GatewayStatusTest : public GatewayTest
 {
 protected:
-    GatewayStatusTest()
-        : m_state(m_core)
+    explicit GatewayStatusTest(PickerKind picker = PickerKind::Latency)
+        : GatewayTest(picker)
+        , m_state(m_core)
         , m_sharing(m_context, {{"host", {"127.0.0.1", 0}, "z"}, {}}, m_state, m_feed, m_metrics)
         , m_status(m_options, m_core, m_state, m_sharing)
     { }
@@ -85,5 +86,36 @@
     EXPECT_GE(summary.at("repeats").at("repairs").to_number<double>(), 1);
 }
 
+class GatewayCostTest : public GatewayStatusTest
+{
+protected:
+    GatewayCostTest()
+        : GatewayStatusTest(PickerKind::WorkLeft)
+    { }
+};
+
+// Guards against costs that are not learned from replies, or requests that stay in the work left.
+TEST_F(GatewayCostTest, theStatusShowsCostsOnceTheyAreLearned)
+{
+    addServer("s", {okResponse("ok", signatureField + "X-Server-Load: 3,2,2,50\r\n")});
+    addSingleRoute(true);
+    start();
+    for (int i = 0; i < 10; ++i)
+        sendRequest("/one/1");
+    const json::value costs = summary().at("costs");
+    ASSERT_EQ(costs.as_object().size(), 1U);
+    const json::value &route = costs.as_object().begin()->value();
+    EXPECT_EQ(route.at("samples").to_number<int>(), 10);
+    EXPECT_GT(route.at("mean_ms").to_number<double>(), 0);
+    const json::value server = m_status.service("s", Clock::now()).at("servers").at(0);
+    EXPECT_GT(server.at("pace").to_number<double>(), 0);
+    EXPECT_EQ(server.at("work_left_ms").to_number<double>(), 0);
+}
+
+TEST_F(GatewayStatusTest, withoutLearnedCostsNoneAreShown)
+{
+    EXPECT_FALSE(summary().contains("costs"));
+}
+
 } // namespace
 } // namespace gwt::test
