--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -122,4 +122,10 @@
     bool m_isStoreMute = false;
 };
 
+template <typename T>
+T &Soak::randomElement(std::vector<std::unique_ptr<T>> &elements)
+{
+    return *elements[m_random() % elements.size()];
+}
+
 } // namespace gwt::test
