Resolve two findings of clang-tidy

Cause: two branches of QuotaService::probe() did the same, and a test grew a vector in a loop. Change: one condition and a reservation; no behaviour changes.

--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -154,11 +154,10 @@
     const bool hasYielded = isOk(reply) && valueOf(reply).outcome() == wire::QuotaReply::YIELDED;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         LeaseKeeper &keeper = *m_ranges[i].keeper;
-        ProbeResult rangeResult = result;
-        if (isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation()))
-            rangeResult = ProbeResult::Ended;
-        else if (hasYielded && keeper.holder() == host)
-            rangeResult = ProbeResult::Ended;
+        const bool isReplaced
+            = isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation());
+        const bool hasGivenUp = hasYielded && keeper.holder() == host;
+        const ProbeResult rangeResult = isReplaced || hasGivenUp ? ProbeResult::Ended : result;
         keeper.onProbe(host, rangeResult, sentAt, now);
     }
 }
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -377,6 +377,7 @@
 TEST(StandingRightsTest, theFleetSharesAPartOfTheTolerance)
 {
     std::vector<FleetMember> members;
+    members.reserve(73);
     for (int i = 0; i < 73; ++i)
         members.push_back({"host-" + std::to_string(i), {}, "z"});
     const Team team = makeTeam("t", 5);
