Do not wake a process up for quotas that no team has

Cause: QuotaService looked at the leases every 100 ms in every deployment, though only a configuration with quotas needs it. Change: the loop runs while a team has a quota.

--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -45,6 +45,7 @@
 {
     m_isActive = std::any_of(config.teams.begin(), config.teams.end(),
                              [](const Team &team) { return team.quota.isLimited(); });
+    runWhileActive();
 }
 
 void QuotaService::onMembers(const std::vector<FleetMember> &members)
@@ -57,15 +58,24 @@
 
 void QuotaService::start()
 {
-    spawn(m_executor, run());
+    m_isStarted = true;
+    runWhileActive();
+}
+
+void QuotaService::runWhileActive()
+{
+    if (m_isStarted && m_isActive && !std::exchange(m_isRunning, true))
+        spawn(m_executor, run());
 }
 
 Task<void> QuotaService::run()
 {
-    for (;;) {
+    // Without quotas the process is not woken up.
+    while (m_isActive || m_isWatching) {
         co_await sleepFor(tickInterval);
         tick(Clock::now());
     }
+    m_isRunning = false;
 }
 
 void QuotaService::tick(TimePoint now)
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -65,6 +65,7 @@
         std::string knownHolder; ///< for the log
     };
 
+    void runWhileActive();
     Task<void> run();
     Task<void> probe(std::string host);
     void tick(TimePoint now);
@@ -92,6 +93,8 @@
     LeaseTable m_leases;
     bool m_isActive = false; ///< the configuration has a team with a quota
     bool m_isWatching = false;
+    bool m_isStarted = false;
+    bool m_isRunning = false; ///< run() is in progress
     bool m_isStopping = false;
     std::set<std::string> m_probedHosts; ///< with a probe in progress
     TimePoint m_probedAt;
