Drain the listeners that tests own before they end

Cause: AddressSanitizer found handlers of a CallerServer that ran after the test that owned it, in four shards of TeamKeyTest. Change: these tests close the listener and run its handlers.

--- a/test/TeamKeyTest.cpp
+++ b/test/TeamKeyTest.cpp
@@ -202,6 +202,8 @@
     EXPECT_EQ(response.count("Retry-After"), GetParam().status == 200 ? 0U : 1U);
     EXPECT_EQ(m_servers[0]->requests().size(), GetParam().requests);
     runUntil(m_context, [&] { return core.openAttempts() == 0; });
+    callers.stopAccepting();
+    runFor(5ms); // the handlers of the listener refer to it
 }
 
 INSTANTIATE_TEST_SUITE_P(Outcomes, QuotaAnswerTest,
@@ -248,6 +250,8 @@
     runFor(20ms);
     EXPECT_TRUE(m_servers[0]->requests().empty());
     runUntil(m_context, [&] { return core.openAttempts() == 0; });
+    callers.stopAccepting();
+    runFor(5ms); // the handlers of the listener refer to it
 }
 
 // A caller that takes its time to send a body must not make the coordinator seem silent, because
@@ -272,6 +276,8 @@
     runUntil(m_context, [&] { return !m_servers[0]->requests().empty(); });
     EXPECT_GT(quota.lastWait(), 20ms);
     runUntil(m_context, [&] { return core.openAttempts() == 0; });
+    callers.stopAccepting();
+    runFor(5ms); // the handlers of the listener refer to it
 }
 
 // The excess that the coordinator reports has to reach the admission of queries. Of three queries
@@ -305,6 +311,8 @@
     }
     EXPECT_GT(refused, 0);
     runUntil(m_context, [&] { return core.openAttempts() == 0; });
+    callers.stopAccepting();
+    runFor(5ms); // the handlers of the listener refer to it
 }
 
 // A label value per team that ever existed would let the metrics grow without a limit.
