Give requests that are ended for lack of memory a reason of their own

What operators saw: a running request that is ended because callers occupy the memory stood in the log and in gwt_gateway_unserved_total as "stopping", on a process that was not stopping.

Cause: CallerMemory ends it through the handler that a stopping process uses, and the handlers of single requests, queries and requests that wait for a quota had that reason fixed.

Change: the handler is told the reason. RequestEndReasonTest ends a request that a backend server does not answer, once for lack of memory and once by a stop, and reads the counter; before, the handler took no reason, and the row "memory" counted as "stopping".

--- a/src/gateway/GatewayCore.cpp
+++ b/src/gateway/GatewayCore.cpp
@@ -305,12 +305,13 @@
     const TimePoint deadline = Clock::now() + wait;
     const auto isGone = std::make_shared<bool>(false);
     plan.exchange->onDisconnect([isGone] { *isGone = true; });
-    plan.exchange->onStop([this, isGone, weak = std::weak_ptr(plan.exchange)] {
-        const auto exchange = weak.lock();
-        if (!exchange || std::exchange(*isGone, true))
-            return;
-        refuse(*exchange, 503, "stopping", stopRetryAfter);
-    });
+    plan.exchange->onEnd(
+        [this, isGone, weak = std::weak_ptr(plan.exchange)](const std::string &reason) {
+            const auto exchange = weak.lock();
+            if (!exchange || std::exchange(*isGone, true))
+                return;
+            refuse(*exchange, 503, reason, stopRetryAfter);
+        });
     const Team &team = *plan.team;
     m_quota->acquire(team, deadline,
                      [this, isGone, plan = std::move(plan)](QuotaDecision decision) {
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -339,7 +339,7 @@
 {
     if (m_state == State::Handling) {
         const auto exchange = m_currentExchange;
-        exchange->notifyStop();
+        exchange->notifyEnd("stopping");
     } else if (m_state == State::Receiving && m_hasRequestBytes) {
         logInfo("request_ended", {{"id", m_requests.field(m_context.headerNames.requestId)}});
         m_context.metrics
--- a/src/gateway/callers/CallerConnectionMemory.cpp
+++ b/src/gateway/callers/CallerConnectionMemory.cpp
@@ -100,7 +100,7 @@
         return "receiving";
     case State::Handling: {
         const auto exchange = m_currentExchange;
-        exchange->notifyStop();
+        exchange->notifyEnd("memory");
         return m_state == State::Handling ? "" : "running";
     }
     case State::Responding:
--- a/src/gateway/callers/CallerExchange.h
+++ b/src/gateway/callers/CallerExchange.h
@@ -5,6 +5,7 @@
 #include "http/WireRequest.h"
 
 #include <functional>
+#include <string>
 
 namespace gwt {
 
@@ -24,9 +25,11 @@
     virtual void respond(CallerResponse response) = 0;
     /// \brief Sets \a handler, which runs once if the caller disconnects before the response.
     virtual void onDisconnect(std::function<void()> handler) = 0;
-    /// \brief Sets \a handler, which runs once if the process has to end before the response. It
-    /// must call respond().
-    virtual void onStop(std::function<void()> handler) = 0;
+    /// \brief Runs with the reason, a stable lower-case name.
+    using EndHandler = std::function<void(const std::string &reason)>;
+    /// \brief Sets \a handler, which runs once if the request has to end before the response, as
+    /// when the process stops. It must call respond().
+    virtual void onEnd(EndHandler handler) = 0;
 };
 
 /// \brief Handles requests of callers.
--- a/src/gateway/callers/ConnectionExchange.h
+++ b/src/gateway/callers/ConnectionExchange.h
@@ -22,7 +22,7 @@
     void respond(CallerResponse response) override
     {
         m_disconnectHandler = nullptr;
-        m_stopHandler = nullptr;
+        m_endHandler = nullptr;
         const auto connection = std::exchange(m_connection, nullptr);
         if (!connection || !connection->isOpen())
             return;
@@ -34,19 +34,19 @@
         if (m_connection)
             m_disconnectHandler = std::move(handler);
     }
-    void onStop(std::function<void()> handler) override
+    void onEnd(EndHandler handler) override
     {
         if (m_connection)
-            m_stopHandler = std::move(handler);
+            m_endHandler = std::move(handler);
     }
-    void notifyStop()
+    void notifyEnd(const std::string &reason)
     {
-        if (const auto handler = std::exchange(m_stopHandler, nullptr))
-            handler();
+        if (const auto handler = std::exchange(m_endHandler, nullptr))
+            handler(reason);
     }
     void notifyDisconnect()
     {
-        m_stopHandler = nullptr;
+        m_endHandler = nullptr;
         m_connection.reset();
         if (const auto handler = std::exchange(m_disconnectHandler, nullptr))
             handler();
@@ -58,7 +58,7 @@
     TimePoint m_arrivedAt;
     Duration m_networkTime;
     std::function<void()> m_disconnectHandler;
-    std::function<void()> m_stopHandler;
+    EndHandler m_endHandler;
 };
 
 } // namespace gwt
--- a/src/gateway/forwarding/ShardQueryRun.cpp
+++ b/src/gateway/forwarding/ShardQueryRun.cpp
@@ -67,7 +67,7 @@
     }
     const auto self = shared_from_this();
     m_plan.exchange->onDisconnect([self] { self->onCallerDisconnected(); });
-    m_plan.exchange->onStop([self] { self->endEarly(); });
+    m_plan.exchange->onEnd([self](const std::string &reason) { self->endEarly(reason); });
     m_deadlineTimer
         = m_context.timers.at(m_plan.deadline, [self] { self->giveUp(504, "deadline"); });
     if (isOverdue()) {
@@ -295,7 +295,7 @@
     exchange->respond(makeRefusal(status, reason, backoff));
 }
 
-void ShardQueryRun::endEarly()
+void ShardQueryRun::endEarly(const std::string &reason)
 {
     if (m_isEnded)
         return;
@@ -303,7 +303,7 @@
     if (m_parts.size() >= PartialAnswerPolicy::minShards(query.shards.size(), query.minShare))
         answer();
     else
-        giveUp(504, "stopping");
+        giveUp(504, reason);
 }
 
 void ShardQueryRun::onCallerDisconnected()
--- a/src/gateway/forwarding/ShardQueryRun.h
+++ b/src/gateway/forwarding/ShardQueryRun.h
@@ -40,7 +40,7 @@
     /// it.
     void giveUp(unsigned statusIfRun, const std::string &reason);
     /// \brief Responds now, with the shards that have answered if these are enough.
-    void endEarly();
+    void endEarly(const std::string &reason);
     bool mayHaveRun() const;
     void refuse(const std::string &reason, std::size_t reachable);
     Milliseconds retryAfter(TimePoint now) const;
--- a/src/gateway/forwarding/SingleForward.cpp
+++ b/src/gateway/forwarding/SingleForward.cpp
@@ -42,7 +42,7 @@
     }
     const auto self = shared_from_this();
     m_plan.exchange->onDisconnect([self] { self->onCallerDisconnected(); });
-    m_plan.exchange->onStop([self] { self->giveUp("stopping"); });
+    m_plan.exchange->onEnd([self](const std::string &reason) { self->giveUp(reason); });
     m_deadlineTimer = m_context.timers.at(m_plan.deadline, [self] { self->giveUp("deadline"); });
     if (m_plan.route->isIdempotent)
         scheduleHedge();
