Move the account of callers' memory and the request stream to module http

The gateway has a bound on what callers can occupy; the daemons, whose HttpServer is in module http, have none and could not use it. MemoryBudget, HostLimits, RequestStream and LogRateLimiter move to http and common, the sizes of a request get a type of their own, and two pieces of gwt-gateway's main() that the daemons need become functions: the limit on descriptors that the system sets, and the allocator's threshold. Nothing else changes.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -1,3 +1,4 @@
+#include "common/Allocator.h"
 #include "common/Log.h"
 #include "common/Random.h"
 #include "gateway/Gateway.h"
@@ -6,19 +7,12 @@
 #include "platform/PlatformHeaders.h"
 #include "platform/SettingsWatch.h"
 
-#include <malloc.h>
-#include <sys/resource.h>
-
-#include <algorithm>
 #include <csignal>
-#include <limits>
 
 namespace {
 
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
-constexpr int mappedBufferBytes
-    = 131'072; ///< from which a buffer is returned to the system at once
 
 using gwt::platform::PlatformSettings;
 
@@ -34,19 +28,6 @@
     return settings.shutdownGrace - killMargin;
 }
 
-/// \brief Limits in \a settings; of the descriptors at most those that the system allows.
-gwt::HostLimits hostLimitsOf(const PlatformSettings &settings)
-{
-    gwt::HostLimits limits = settings.hostLimits;
-    rlimit allowed{};
-    if (::getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY) {
-        const int most
-            = static_cast<int>(std::min<rlim_t>(allowed.rlim_cur, std::numeric_limits<int>::max()));
-        limits.maxFds = limits.maxFds == 0 ? most : std::min(limits.maxFds, most);
-    }
-    return limits;
-}
-
 gwt::GatewayOptions optionsOf(const PlatformSettings &settings)
 {
     gwt::GatewayOptions options;
@@ -55,7 +36,7 @@
     options.retryBudget = retryBudgetRulesOf(settings);
     options.shutdownTimeout = shutdownTimeoutOf(settings);
     options.keyProofLimit = settings.keyProofLimit;
-    options.hostLimits = hostLimitsOf(settings);
+    options.hostLimits = settings.hostLimits.withinSystem();
     options.picker = settings.picker;
     return options;
 }
@@ -141,9 +122,7 @@
     // Ignore SIGHUP until its handler is set: its default action would terminate the process, and
     // a reload before then is unnecessary as the settings are about to be read.
     std::signal(SIGHUP, SIG_IGN);
-    // The allocator would otherwise raise this threshold to the size of the largest buffer freed so
-    // far, and then keep the gaps between large buffers when a crowd of callers has left.
-    ::mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);
+    gwt::returnLargeBuffers();
     gwt::initializeLog("gwt-gateway", "info");
     const std::string path = gwt::platform::platformSettingsPath();
     const auto settings = gwt::platform::readPlatformSettings(path);
--- a/fuzz/RequestStreamFuzz.cpp
+++ b/fuzz/RequestStreamFuzz.cpp
@@ -1,4 +1,4 @@
-#include "gateway/callers/RequestStream.h"
+#include "http/RequestStream.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -24,7 +24,7 @@
 }
 
 /// \brief Parses \a bytes as a connection would that receives \a pieceSize bytes at a time.
-ParsedRequests parse(const gwt::RequestLimits &limits, std::string_view bytes,
+ParsedRequests parse(const gwt::RequestSizeLimits &limits, std::string_view bytes,
                      std::size_t pieceSize)
 {
     using Status = gwt::RequestStream::Status;
@@ -59,7 +59,7 @@
 {
     if (size == 0)
         return 0;
-    gwt::RequestLimits limits;
+    gwt::RequestSizeLimits limits;
     limits.maxHeaderBytes = (data[0] & 1U) != 0 ? 1U << 20U : 512;
     limits.maxBodyBytes = 1024;
     const std::size_t pieceSize = 1 + (data[0] >> 1U);
--- a/src/common/Common.h
+++ b/src/common/Common.h
@@ -3,6 +3,7 @@
 /// \file
 /// \brief Module common: outcomes, time, settings, logging, metrics and the worker pool.
 
+#include "common/Allocator.h"
 #include "common/Assert.h"
 #include "common/BootClock.h"
 #include "common/CancelToken.h"
@@ -12,6 +13,7 @@
 #include "common/LatencyHistogram.h"
 #include "common/Listener.h"
 #include "common/Log.h"
+#include "common/LogRateLimiter.h"
 #include "common/LowerCase.h"
 #include "common/Metrics.h"
 #include "common/OneShot.h"
--- a/src/gateway/policy/LogRateLimiter.cpp
+++ b/src/common/LogRateLimiter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/policy/LogRateLimiter.h"
+#include "common/LogRateLimiter.h"
 
 #include <algorithm>
 
--- a/src/gateway/GatewayCore.h
+++ b/src/gateway/GatewayCore.h
@@ -3,11 +3,11 @@
 #include "common/Log.h"
 #include "gateway/GatewayOptions.h"
 #include "gateway/forwarding/ForwardingContext.h"
-#include "gateway/memory/MemoryBudget.h"
 #include "gateway/policy/CallerWaitEstimator.h"
 #include "gateway/quota/QuotaGate.h"
 #include "gateway/routing/WeightedSplit.h"
 #include "gateway/sharing/FleetState.h"
+#include "http/MemoryBudget.h"
 
 namespace gwt {
 
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -2,8 +2,8 @@
 
 #include "common/Time.h"
 #include "gateway/backends/BackendPicker.h"
-#include "gateway/memory/HostLimits.h"
 #include "gateway/policy/RetryBudget.h"
+#include "http/HostLimits.h"
 
 #include <optional>
 #include <string>
--- a/src/gateway/backends/HoldTracker.h
+++ b/src/gateway/backends/HoldTracker.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "common/LogRateLimiter.h"
 #include "common/Metrics.h"
 #include "common/Random.h"
 #include "gateway/backends/BackendServer.h"
 #include "gateway/backends/HoldMemory.h"
 #include "gateway/forwarding/HeaderNames.h"
-#include "gateway/policy/LogRateLimiter.h"
 
 #include <optional>
 #include <string>
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -5,10 +5,10 @@
 #include "gateway/callers/CallerExchange.h"
 #include "gateway/callers/CallerMemory.h"
 #include "gateway/callers/OpenRequest.h"
-#include "gateway/callers/RequestStream.h"
 #include "gateway/forwarding/HeaderNames.h"
 #include "gateway/policy/TransferTimeout.h"
 #include "gateway/routing/Route.h"
+#include "http/RequestStream.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
--- a/src/gateway/callers/CallerMemory.h
+++ b/src/gateway/callers/CallerMemory.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "common/LogRateLimiter.h"
 #include "common/Metrics.h"
 #include "common/TimerQueue.h"
 #include "gateway/callers/MemoryHolder.h"
-#include "gateway/memory/MemoryBudget.h"
-#include "gateway/policy/LogRateLimiter.h"
+#include "http/MemoryBudget.h"
 
 #include <memory>
 #include <unordered_map>
--- a/src/gateway/forwarding/RequestRecorder.h
+++ b/src/gateway/forwarding/RequestRecorder.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "common/LogRateLimiter.h"
 #include "common/Metrics.h"
 #include "gateway/forwarding/RequestEnd.h"
 #include "gateway/forwarding/TeamRequestCounter.h"
-#include "gateway/policy/LogRateLimiter.h"
 #include "gateway/routing/Team.h"
 
 #include <map>
--- a/src/gateway/routing/Route.h
+++ b/src/gateway/routing/Route.h
@@ -2,6 +2,7 @@
 
 #include "common/Time.h"
 #include "gateway/routing/Team.h"
+#include "http/RequestSizeLimits.h"
 
 #include <cstdint>
 #include <string>
@@ -51,10 +52,8 @@
 };
 
 /// \brief Limits on what a caller may send.
-struct RequestLimits
+struct RequestLimits : RequestSizeLimits
 {
-    std::size_t maxHeaderBytes = 16384;
-    std::size_t maxBodyBytes = 262144;
     Milliseconds headerTimeout{3000};
     Milliseconds idleTimeout{15000};
     bool isInForce = false; ///< set by a configuration, which may allow more than the defaults
--- a/src/gateway/memory/HostLimits.h
+++ b/src/http/HostLimits.h
@@ -5,7 +5,7 @@
 
 namespace gwt {
 
-/// \brief What the host of a gateway process allows it, and the shares derived from it.
+/// \brief What the host allows a process, and the shares derived from it.
 struct HostLimits
 {
     std::size_t memoryMb = 256; ///< of the whole process
@@ -40,6 +40,9 @@
         return maxFds == 0 ? 0 : std::max(fewest, static_cast<std::size_t>(maxFds) / share);
     }
 
+    /// \brief These limits, with at most as many descriptors as the system allows the process.
+    HostLimits withinSystem() const;
+
     bool operator==(const HostLimits &) const = default;
 };
 
--- a/src/gateway/memory/MemoryBudget.cpp
+++ b/src/http/MemoryBudget.cpp
@@ -1,4 +1,4 @@
-#include "gateway/memory/MemoryBudget.h"
+#include "http/MemoryBudget.h"
 
 #include <algorithm>
 
--- a/src/gateway/memory/MemoryBudget.h
+++ b/src/http/MemoryBudget.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "common/Time.h"
-#include "gateway/memory/HostLimits.h"
 #include "http/ByteBudget.h"
+#include "http/HostLimits.h"
 
 #include <cstdint>
 #include <unordered_map>
--- a/src/gateway/callers/RequestStream.cpp
+++ b/src/http/RequestStream.cpp
@@ -1,4 +1,4 @@
-#include "gateway/callers/RequestStream.h"
+#include "http/RequestStream.h"
 
 #include "common/Assert.h"
 
@@ -25,7 +25,7 @@
 
 } // namespace
 
-RequestStream::RequestStream(const RequestLimits &limits)
+RequestStream::RequestStream(const RequestSizeLimits &limits)
     : m_limits(limits)
 { }
 
--- a/src/gateway/callers/RequestStream.h
+++ b/src/http/RequestStream.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/routing/Route.h"
 #include "http/RequestParser.h"
+#include "http/RequestSizeLimits.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -26,7 +26,7 @@
 
     /// \brief \a limits must outlive the stream. Each request is held to those in force when its
     /// first byte is parsed.
-    explicit RequestStream(const RequestLimits &limits);
+    explicit RequestStream(const RequestSizeLimits &limits);
 
     void append(const char *data, std::size_t size);
     /// \brief Discards empty lines before a request, which some callers send after a body.
@@ -62,7 +62,7 @@
     void beginRequest();
     Status fail(const boost::system::error_code &failure);
 
-    const RequestLimits &m_limits;
+    const RequestSizeLimits &m_limits;
     boost::beast::flat_buffer m_waiting;
     /// Of the next request; empty before its first byte is parsed.
     std::optional<RequestParser> m_parser;
--- a/test/RaisedLimitsTest.cpp
+++ b/test/RaisedLimitsTest.cpp
@@ -15,7 +15,7 @@
 
 RequestLimits limits(std::size_t headerBytes, std::size_t bodyBytes, Milliseconds idleTimeout)
 {
-    return {headerBytes, bodyBytes, 3000ms, idleTimeout};
+    return {{headerBytes, bodyBytes}, 3000ms, idleTimeout};
 }
 
 class RaisedLimitsTest : public GatewayTest, public testing::WithParamInterface<LimitsCase>
