Bound what the kernel holds for the callers of a gateway

What callers saw: nothing yet, until the host's memory is gone: with 64 MB allowed, 300 callers that pipeline requests for 1 MB and read nothing made the kernel hold 787 MB for the gateway's connections, 600 on the admin address 120 MB; 600 callers whose bodies stop one byte short and that come back when refused, 107 MB; 900 that pipeline, 35 MB; 300 slow readers, 46 MB.

Cause: the account knows the process's own buffers. The kernel grows the send buffer of a connection to 4 MB and takes a response out of the account, and each receive buffer of 128 KB may be full while the process does not read on.

Receive buffers are the budget divided by the connections that callers may have, 16 to 128 KB, so that all of them fit the half of the memory that the account leaves. Unread bytes of connections that are not read on because of pipelining count too. Requests are read in pieces of 16 KB instead of 4.

The scripted server of the tests takes bodies of 8 MB instead of 1, for the request at a raised limit.

--- a/src/common/Listener.cpp
+++ b/src/common/Listener.cpp
@@ -13,7 +13,8 @@
 
 } // namespace
 
-Outcome<Endpoint> openListener(tcp::acceptor &acceptor, const Endpoint &local)
+Outcome<Endpoint> openListener(tcp::acceptor &acceptor, const Endpoint &local,
+                               int receiveBufferBytes)
 {
     boost::system::error_code failure;
     const auto address = asio::ip::make_address(local.address, failure);
@@ -22,6 +23,10 @@
         acceptor.open(endpoint.protocol(), failure);
     if (!failure)
         acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    if (!failure && receiveBufferBytes > 0) {
+        boost::system::error_code ignored; // without it the system's default holds
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    }
     if (!failure)
         acceptor.bind(endpoint, failure);
     if (!failure)
--- a/src/gateway/GatewayProcess.cpp
+++ b/src/gateway/GatewayProcess.cpp
@@ -28,11 +28,13 @@
     , m_callerMemory(core.memory(), timers, metrics)
     , m_callerServer(context,
                      CallerContext{timers, core, metrics, core.limits(), core.headerNames(), false,
-                                   &m_callerMemory, m_options.hostLimits.maxCallers()})
+                                   &m_callerMemory, m_options.hostLimits.maxCallers(),
+                                   m_options.hostLimits.receiveBufferBytes()})
     , m_adminServer(context,
                     CallerContext{timers, m_adminHandler, metrics, core.limits(),
                                   core.headerNames(), false, &m_callerMemory,
-                                  m_options.hostLimits.maxAdminConnections()})
+                                  m_options.hostLimits.maxAdminConnections(),
+                                  m_options.hostLimits.receiveBufferBytes()})
     , m_stallDetector(stallThreshold)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_stop(timers, core, m_callerServer, m_options.idleCloseDelay, m_options.shutdownTimeout,
--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include "common/Log.h"
 #include "gateway/callers/ConnectionExchange.h"
 #include "gateway/forwarding/Refusal.h"
+#include "http/CallerSocket.h"
 
 #include <array>
 
@@ -35,10 +36,7 @@
 
 void CallerConnection::start()
 {
-    error_code ignored;
-    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    m_socket.non_blocking(true, ignored);
+    configureCallerSocket(m_socket);
     if (m_context.memory)
         m_memoryId = m_context.memory->add(weak_from_this());
     awaitRequest();
@@ -47,6 +45,7 @@
 void CallerConnection::awaitRequest()
 {
     m_state = State::Receiving;
+    m_isPaused = false;
     m_hasRequestBytes = false;
     m_transferTimeout.reset();
     m_requests.shrink(s_keptBufferBytes);
@@ -82,11 +81,12 @@
     const bool isBetweenRequests = m_state == State::Handling || m_state == State::Responding;
     const bool isShort = m_context.memory && m_context.memory->isUnderPressure();
     if (isBetweenRequests
-        && m_requests.waitingBytes() >= (isShort ? fewPipelinedBytes : maxPipelinedBytes))
+        && m_requests.waitingBytes() >= (isShort ? fewPipelinedBytes : maxPipelinedBytes)) {
+        pauseReading();
         return;
+    }
     if (m_state == State::Receiving && isShort && !m_context.memory->mayRead(m_memoryId)) {
-        m_isPaused = true;
-        m_context.memory->pause(shared_from_this());
+        pauseReading();
         return;
     }
     m_isReading = true;
@@ -100,9 +100,11 @@
     m_isReading = false;
     if (m_state == State::Closed)
         return;
-    std::array<char, 4096> bytes;
+    std::array<char, MemoryBudget::s_smallBytes> bytes;
+    // What is read behind a request is not wanted yet; it only shows that the caller is there.
+    const std::size_t wanted = m_state == State::Receiving ? bytes.size() : fewPipelinedBytes;
     error_code failure;
-    const std::size_t count = m_socket.read_some(asio::buffer(bytes), failure);
+    const std::size_t count = m_socket.read_some(asio::buffer(bytes.data(), wanted), failure);
     if (failure == asio::error::would_block) {
         read();
         return;
@@ -319,6 +321,7 @@
     // Closing with unread bytes would reset the connection, and the caller could lose the response:
     // keep reading until the caller closes, for a second at most.
     m_state = State::Lingering;
+    m_isPaused = false;
     m_requests.clear();
     updateMemory();
     error_code ignored;
--- a/src/gateway/callers/CallerConnection.h
+++ b/src/gateway/callers/CallerConnection.h
@@ -30,6 +30,7 @@
     bool isDraining = false;
     CallerMemory *memory = nullptr; ///< null: no limit on memory
     std::size_t maxConnections = 0; ///< open at the same time; 0: no limit
+    int receiveBufferBytes = 0; ///< in the kernel, of each connection; 0: the system's default
 };
 
 /// \brief One connection of a caller, which handles its requests one after the other.
@@ -104,6 +105,8 @@
     void close();
     Duration measureRoundTrip();
     bool isAdmitted();
+    /// \brief Stops reading until the next check of the account, or the next request.
+    void pauseReading();
     void recordProgress();
     std::size_t unreadBytes();
     /// \brief Bytes that the request that has been received will occupy while it is forwarded.
@@ -129,7 +132,8 @@
     MemoryBudget::Id m_memoryId = 0;
     std::size_t m_exchangeBytes = 0; ///< held for the request being handled
     bool m_isReading = false;
-    bool m_isPaused = false; ///< reads nothing until there is memory again
+    bool m_isPaused = false; ///< reads nothing for now, so that unread bytes are accounted for
+    bool m_isListedAsPaused = false; ///< CallerMemory is going to call resumeReading()
     bool m_isHalfClosed = false; ///< the caller has closed its side while a response was written
     bool m_hasRequestBytes = false; ///< bytes of the next request have arrived
 };
--- a/src/gateway/callers/CallerConnectionMemory.cpp
+++ b/src/gateway/callers/CallerConnectionMemory.cpp
@@ -72,9 +72,19 @@
     return failure ? 0 : count;
 }
 
+void CallerConnection::pauseReading()
+{
+    if (!m_context.memory)
+        return;
+    m_isPaused = true;
+    if (!std::exchange(m_isListedAsPaused, true))
+        m_context.memory->pause(shared_from_this());
+}
+
 void CallerConnection::resumeReading()
 {
     m_isPaused = false;
+    m_isListedAsPaused = false;
     updateMemory();
     read();
 }
--- a/src/gateway/callers/CallerMemory.cpp
+++ b/src/gateway/callers/CallerMemory.cpp
@@ -4,13 +4,6 @@
 
 namespace gwt {
 
-namespace {
-
-/// Between checks under pressure: a tenth of the time after which a connection counts as stalled.
-constexpr Milliseconds checkInterval{50};
-
-} // namespace
-
 CallerMemory::CallerMemory(MemoryBudget &budget, TimerQueue &timers, Metrics &metrics)
     : m_budget(budget)
     , m_timers(timers)
@@ -104,8 +97,13 @@
 
 void CallerMemory::armCheck()
 {
-    if (m_checkTimer.number == 0)
-        m_checkTimer = m_timers.after(checkInterval, [this] { check(); });
+    const Milliseconds interval
+        = m_budget.isUnderPressure() ? MemoryBudget::s_checkInterval : MemoryBudget::s_stallTime;
+    const TimePoint due = Clock::now() + interval;
+    if (m_checkTimer.number != 0 && m_checkTimer.due <= due)
+        return;
+    m_timers.cancel(m_checkTimer);
+    m_checkTimer = m_timers.at(due, [this] { check(); });
 }
 
 void CallerMemory::check()
--- a/src/gateway/callers/CallerServer.cpp
+++ b/src/gateway/callers/CallerServer.cpp
@@ -24,7 +24,7 @@
 
 Outcome<Endpoint> CallerServer::listen(const Endpoint &local)
 {
-    Outcome<Endpoint> bound = openListener(m_acceptor, local);
+    Outcome<Endpoint> bound = openListener(m_acceptor, local, m_callerContext.receiveBufferBytes);
     if (isOk(bound))
         accept();
     return bound;
--- a/src/http/HostLimits.h
+++ b/src/http/HostLimits.h
@@ -32,6 +32,17 @@
     }
     /// \brief Connections of callers; the rest is for backend servers, the store and other hosts.
     std::size_t maxCallers() const { return static_cast<std::size_t>(maxFds) * 3 / 4; }
+    /// \brief Receive buffer in the kernel of each connection of callers, so that all together may
+    /// hold the half of the memory that is not in the budget; 0: the system's default.
+    int receiveBufferBytes() const
+    {
+        constexpr std::size_t least = 16'384; // a head of usual size in one read
+        constexpr std::size_t most = 131'072; // the usual default of the system
+        if (maxFds == 0)
+            return 0;
+        const std::size_t share = budgetBytes() / std::max<std::size_t>(1, maxCallers());
+        return static_cast<int>(std::clamp(share, least, most));
+    }
     /// \brief Connections to the address of health and metrics; 0: no limit.
     std::size_t maxAdminConnections() const
     {
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -4,6 +4,7 @@
 /// \brief Module http: HTTP/1.1 client and server on Boost.Beast.
 
 #include "http/ByteBudget.h"
+#include "http/CallerSocket.h"
 #include "http/ClientConnection.h"
 #include "http/HostLimits.h"
 #include "http/HttpClient.h"
--- a/src/http/MemoryBudget.h
+++ b/src/http/MemoryBudget.h
@@ -34,6 +34,9 @@
     static constexpr std::size_t s_smallBytes = 16384;
     /// A caller on a poor connection seldom pauses that long within a request.
     static constexpr Milliseconds s_stallTime{500};
+    /// Between checks under pressure: a tenth of the time after which a connection counts as
+    /// stalled.
+    static constexpr Milliseconds s_checkInterval = s_stallTime / 10;
 
     explicit MemoryBudget(const HostLimits &limits);
 
--- a/test/CallerMemoryTest.cpp
+++ b/test/CallerMemoryTest.cpp
@@ -1,4 +1,4 @@
-#include "LoopbackAddress.h"
+#include "CrowdCaller.h"
 #include "ScriptedServer.h"
 #include "soak/SoakGateway.h"
 #include "standins/platform/FakePlatform.h"
@@ -6,7 +6,6 @@
 #include <gtest/gtest.h>
 
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 
 namespace gwt::test {
@@ -22,83 +21,6 @@
 constexpr Duration crowdTime = 6s; ///< for which the crowd sends before the ordinary request
 constexpr Duration answerLimit = 60s; ///< far above what an ordinary caller needs
 
-/// \brief One connection of the crowd; sends, and reads nothing unless told to.
-class CrowdCaller : public std::enable_shared_from_this<CrowdCaller>
-{
-public:
-    CrowdCaller(boost::asio::io_context &context, TimerQueue &timers,
-                std::shared_ptr<const std::string> bytes, std::size_t pieceBytes)
-        : m_socket(context)
-        , m_timers(timers)
-        , m_bytes(std::move(bytes))
-        , m_pieceBytes(pieceBytes)
-    { }
-
-    void start(const Endpoint &remote)
-    {
-        m_socket.open(tcp::v4());
-        // A response must not fit into the kernel's buffer of this side.
-        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
-        m_socket.async_connect({boost::asio::ip::make_address(remote.address), remote.port},
-                               [self = shared_from_this()](const auto &failure) {
-                                   if (!failure)
-                                       self->send();
-                               });
-    }
-    void readSlowly()
-    {
-        m_timers.after(50ms, [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            boost::system::error_code failure;
-            self->m_socket.non_blocking(true, failure);
-            self->m_socket.read_some(boost::asio::buffer(self->m_piece), failure);
-            self->readSlowly();
-        });
-    }
-
-private:
-    void send()
-    {
-        const std::size_t size = std::min(m_bytes->size() - m_sent, m_pieceBytes);
-        if (size == 0)
-            return;
-        m_socket.async_write_some(boost::asio::buffer(m_bytes->data() + m_sent, size),
-                                  [self = shared_from_this()](const auto &failure, std::size_t n) {
-                                      self->m_sent += n;
-                                      if (!failure)
-                                          self->m_timers.after(1ms, [self] { self->send(); });
-                                  });
-    }
-
-    tcp::socket m_socket;
-    TimerQueue &m_timers;
-    const std::shared_ptr<const std::string> m_bytes;
-    const std::size_t m_pieceBytes;
-    std::size_t m_sent = 0;
-    std::array<char, 4096> m_piece{};
-};
-
-std::string post(const std::string &path, std::size_t length, std::size_t sent)
-{
-    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\nContent-Length: "
-        + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'x');
-}
-
-std::string get(const std::string &path)
-{
-    return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\n\r\n";
-}
-
-std::string repeated(const std::string &text, std::size_t count)
-{
-    std::string all;
-    for (std::size_t i = 0; i < count; ++i)
-        all += text;
-    return all;
-}
-
 std::string endlessHead()
 {
     std::string head = "GET /one/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: crowd\r\n";
@@ -112,14 +34,12 @@
     std::string name;
     bool isAdmin; ///< connects to the address of health and metrics, else to that of callers
     int callers;
-    std::size_t pieceBytes;
-    bool readsSlowly;
-    std::string bytes; ///< that each caller sends
+    CrowdBehaviour behaviour;
+    std::vector<std::string> bytes; ///< that the callers send, each the next one in turn
     int maxFds = 2000; ///< limits.maxFds of the process
+    std::size_t maxBodyBytes = bodyBytes; ///< in the configuration
 };
 
-constexpr std::size_t whole = std::numeric_limits<std::size_t>::max();
-
 /// Guards against a process that callers make grow without bound: the system then ends it.
 class CallerMemoryTest : public testing::TestWithParam<CrowdCase>
 {
@@ -173,21 +93,24 @@
         add("hang", m_hangingServer);
         m_platform.data().overwrite(
             "config", "main",
-            boost::json::object{{"version", 1},
-                                {"routes", routes},
-                                {"services", services},
-                                {"limits", {{"maxHeaderBytes", headBytes}}}});
+            boost::json::object{
+                {"version", 1},
+                {"routes", routes},
+                {"services", services},
+                {"limits",
+                 {{"maxHeaderBytes", headBytes}, {"maxBodyBytes", GetParam().maxBodyBytes}}}});
     }
     void startCrowd()
     {
-        const auto bytes = std::make_shared<const std::string>(GetParam().bytes);
+        std::vector<std::shared_ptr<const std::string>> texts;
+        for (const std::string &bytes : GetParam().bytes)
+            texts.push_back(std::make_shared<const std::string>(bytes));
         const Endpoint remote = GetParam().isAdmin ? m_gateway->readiness() : m_gateway->callers();
         for (int i = 0; i < GetParam().callers; ++i) {
             m_crowd.push_back(
-                std::make_shared<CrowdCaller>(m_context, m_timers, bytes, GetParam().pieceBytes));
+                std::make_shared<CrowdCaller>(m_context, m_timers, GetParam().behaviour,
+                                              texts[static_cast<std::size_t>(i) % texts.size()]));
             m_crowd.back()->start(remote);
-            if (GetParam().readsSlowly)
-                m_crowd.back()->readSlowly();
         }
     }
     /// \brief Sends \a request until it is answered with 200; callers may repeat after a refusal.
@@ -242,16 +165,7 @@
         m_hasEnded = m_hasEnded || m_gateway->reap().has_value();
         if (m_hasEnded)
             return;
-        const std::string process = "/proc/" + std::to_string(m_gateway->pid());
-        std::error_code failure;
-        std::filesystem::directory_iterator entries(process + "/fd", failure);
-        m_mostDescriptors = std::max(m_mostDescriptors,
-                                     static_cast<int>(std::distance(begin(entries), end(entries))));
-        std::ifstream status(process + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmHWM:"))
-                m_peakKb = std::stoul(line.substr(sizeof("VmHWM:")));
-        }
+        m_peak.sample(m_gateway->pid(), {m_gateway->callers(), m_gateway->readiness()});
     }
 
     boost::asio::io_context m_context;
@@ -273,8 +187,7 @@
     std::vector<std::shared_ptr<CrowdCaller>> m_crowd;
     TimePoint m_sampledAt;
     bool m_hasEnded = false;
-    int m_mostDescriptors = 0;
-    std::size_t m_peakKb = 0;
+    ProcessPeak m_peak;
 };
 
 TEST_P(CallerMemoryTest, staysWithinItsLimitsAndAnswers)
@@ -286,28 +199,94 @@
     EXPECT_TRUE(isAnswered(m_gateway->callers(), ordinary));
     EXPECT_TRUE(isAnswered(m_gateway->readiness(), get("/metrics")));
     EXPECT_FALSE(m_hasEnded);
-    std::cout << "peak " << m_peakKb / 1024 << " MB, descriptors " << m_mostDescriptors << "\n";
-    EXPECT_LE(m_peakKb, memoryMb * 1024);
-    EXPECT_LE(m_mostDescriptors, GetParam().maxFds);
+    std::cout << "peak " << m_peak.memoryKb / 1024 << " MB, with the kernel "
+              << m_peak.totalKb / 1024 << " MB, descriptors " << m_peak.descriptors << "\n";
+    EXPECT_LE(m_peak.memoryKb, memoryMb * 1024);
+    EXPECT_LE(m_peak.totalKb, memoryMb * 1024);
+    EXPECT_LE(m_peak.descriptors, GetParam().maxFds);
+}
+
+/// Guards against limits on memory that refuse a single request within the limits in force.
+class LargestRequestTest : public CallerMemoryTest
+{ };
+
+TEST_P(LargestRequestTest, isServedInCalm)
+{
+    EXPECT_TRUE(isAnswered(m_gateway->callers(), GetParam().bytes.front()));
+    EXPECT_LE(m_peak.memoryKb, memoryMb * 1024);
 }
 
+std::vector<CrowdCase> largestRequests()
+{
+    const std::size_t raisedBytes = 5 << 20; // three copies fit
+    const std::string fields = repeated("X-Field: " + std::string(7000, 'x') + "\r\n", 18);
+    return {
+        {"body", false, 0, {}, {post("/one/1", bodyBytes, bodyBytes)}},
+        {"head", false, 0, {}, {requestHead("GET", "/one/1", fields)}},
+        {"headOfManyFields",
+         false,
+         0,
+         {},
+         {requestHead("GET", "/one/1", repeated("a:\r\n", 26'000))}},
+        {"chunkedBody", false, 0, {}, {chunkedPost("/one/1", 65) + "0\r\n\r\n"}},
+        {"bodyOfARaisedLimit",
+         false,
+         0,
+         {},
+         {post("/one/1", raisedBytes, raisedBytes)},
+         2000,
+         raisedBytes},
+    };
+}
+
+INSTANTIATE_TEST_SUITE_P(Limits, LargestRequestTest, testing::ValuesIn(largestRequests()),
+                         [](const auto &info) { return info.param.name; });
+
 std::vector<CrowdCase> crowdCases()
 {
     const std::string unfinished = post("/one/1", bodyBytes, bodyBytes - 1);
+    const CrowdBehaviour sends;
+    const CrowdBehaviour sendsPieces{.pieceBytes = 16'384};
+    const CrowdBehaviour trickles{.pieceBytes = 4096, .pause = 100ms};
+    const CrowdBehaviour readsSlowly{.readsSlowly = true};
+    const CrowdBehaviour returns{.returns = true};
+    const std::string chunked = chunkedPost("/one/1", 65);
+    const std::string trailer = chunkedPost("/one/1", 1) + "0\r\nX-Trailer: ";
     return {
-        {"bodyOneByteShort", false, 600, whole, false, unfinished},
-        {"bodyOneByteShortInPieces", false, 600, 16'384, false, unfinished},
-        {"headWithoutEnd", false, 900, whole, false, endlessHead()},
-        {"wholeBodyToHangingServer", false, 400, whole, false,
-         post("/hang/1", bodyBytes, bodyBytes)},
-        {"pipelinedRequests", false, 900, whole, false, repeated(get("/hang/1"), 1000)},
-        {"responsesNotRead", false, 300, whole, false, repeated(get("/large/1"), 20)},
-        {"largeResponsesReadSlowly", false, 300, whole, true, get("/large/1")},
-        {"idleConnections", false, 400, whole, false, "", 200},
-        {"adminBodyOneByteShort", true, 600, whole, false, unfinished},
-        {"adminHeadWithoutEnd", true, 900, whole, false, endlessHead()},
-        {"adminResponsesNotRead", true, 600, whole, false, repeated(get("/metrics"), 500)},
-        {"adminIdleConnections", true, 400, whole, false, "", 200},
+        {"bodyOneByteShort", false, 600, sends, {unfinished}},
+        {"bodyOneByteShortInPieces", false, 600, sendsPieces, {unfinished}},
+        {"headWithoutEnd", false, 900, sends, {endlessHead()}},
+        {"headOfManyFields",
+         false,
+         300,
+         sends,
+         {"GET /one/1 HTTP/1.1\r\n" + repeated("a:\r\n", headBytes / 5)}},
+        {"wholeBodyToHangingServer", false, 400, sends, {post("/hang/1", bodyBytes, bodyBytes)}},
+        {"pipelinedRequests", false, 900, sends, {repeated(get("/hang/1"), 1000)}},
+        {"responsesNotRead", false, 300, sends, {repeated(get("/large/1"), 20)}},
+        {"largeResponsesReadSlowly", false, 300, readsSlowly, {get("/large/1")}},
+        {"idleConnections", false, 400, sends, {""}, 200},
+        {"trickledBodies", false, 600, trickles, {unfinished}},
+        {"bodiesOfReturningCallers", false, 600, returns, {unfinished}},
+        {"chunkedBodies", false, 600, sends, {chunked}},
+        {"trailersWithoutEnd", false, 900, sends, {trailer + std::string(headBytes - 8200, 'x')}},
+        {"largestBodiesOfARaisedLimit",
+         false,
+         30,
+         sends,
+         {post("/one/1", 8 << 20, (8 << 20) - 1)},
+         2000,
+         8 << 20},
+        {"allKinds",
+         false,
+         600,
+         returns,
+         {unfinished, endlessHead(), post("/hang/1", bodyBytes, bodyBytes),
+          repeated(get("/hang/1"), 1000), repeated(get("/large/1"), 20), chunked, trailer, ""}},
+        {"adminBodyOneByteShort", true, 600, sends, {unfinished}},
+        {"adminHeadWithoutEnd", true, 900, sends, {endlessHead()}},
+        {"adminResponsesNotRead", true, 600, sends, {repeated(get("/metrics"), 500)}},
+        {"adminIdleConnections", true, 400, sends, {""}, 200},
     };
 }
 
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -106,6 +106,10 @@
     EXPECT_EQ(host.replyBytes(), 32 * mb);
     EXPECT_EQ(host.maxCallers(), 3075);
     EXPECT_EQ(host.maxAdminConnections(), 128);
+    EXPECT_EQ(host.receiveBufferBytes(), 23'188);
+    EXPECT_EQ(HostLimits({64, 100'000}).receiveBufferBytes(), 16'384);
+    EXPECT_EQ(HostLimits({4096, 1}).receiveBufferBytes(), 131'072);
+    EXPECT_EQ(HostLimits({160, 0}).receiveBufferBytes(), 0);
     EXPECT_GT(HostLimits({16, 0}).budgetBytes(), mb);
     EXPECT_EQ(HostLimits{}.maxCallers(), 0);
 }
--- a/test/ScriptedServer.cpp
+++ b/test/ScriptedServer.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 1U << 20U;
-constexpr std::uint64_t maxBodyBytes = 1U << 20U;
+constexpr std::uint64_t maxBodyBytes = 8U << 20U;
 constexpr std::size_t maxFieldBytes = 60'000; ///< what fields of Boost.Beast hold, roughly
 
 ServerRequest toServerRequest(const WireRequest &received)
