Receive large requests whole, one after the other, while memory is short

What callers saw: beside 400 callers that send 262,143 of 262,144 bytes and come back when refused, 7 of 47 honest bodies of 200,000 bytes got 408 at the first try (260 MB allowed; 15 of 47 with the crowd and the callers in one thread), and one of 48 with 20,000 bytes.

Cause: beyond three quarters of the account no connection above 16 KB was read on, and each time that memory became free all of them shared it, 4 KB each. None was received whole; a caller that sends as fast as it can had no progress for 0.5 s, like one that has stopped, and was ended by its size.

Change: a connection is read on under pressure only by a grant, which reserves the rest of its request below seven eighths of the account, the newest connection first. One that waits for a grant is ended after 1 s, the time after which callers abandon a request that is not read, instead of 0.5 s.

Evidence: MemoryGrantTest and two cases of MemoryBudgetTest.

--- a/src/gateway/callers/CallerConnection.cpp
+++ b/src/gateway/callers/CallerConnection.cpp
@@ -85,7 +85,8 @@
         pauseReading();
         return;
     }
-    if (m_state == State::Receiving && isShort && !m_context.memory->mayRead(m_memoryId)) {
+    if (m_state == State::Receiving && isShort
+        && !m_context.memory->mayRead(m_memoryId, m_requests.expectedBytes())) {
         pauseReading();
         return;
     }
--- a/src/gateway/callers/CallerMemory.cpp
+++ b/src/gateway/callers/CallerMemory.cpp
@@ -2,6 +2,8 @@
 
 #include "common/Log.h"
 
+#include <algorithm>
+
 namespace gwt {
 
 CallerMemory::CallerMemory(MemoryBudget &budget, TimerQueue &timers, Metrics &metrics)
@@ -113,9 +115,13 @@
     for (const auto &holder : std::vector(m_paused))
         holder->updateMemory();
     makeRoom(nobody, 0);
-    // Each one that still may not read is paused again.
-    for (const auto &holder : std::exchange(m_paused, {}))
+    // The newest first: its caller is the most likely to be still there and sending. Each one that
+    // still may not read is paused again.
+    std::vector<std::shared_ptr<MemoryHolder>> paused = std::exchange(m_paused, {});
+    std::reverse(paused.begin(), paused.end());
+    for (const auto &holder : paused)
         holder->resumeReading();
+    std::reverse(m_paused.begin(), m_paused.end());
     if (m_budget.isUnderPressure() || !m_paused.empty())
         armCheck();
 }
--- a/src/gateway/callers/CallerMemory.h
+++ b/src/gateway/callers/CallerMemory.h
@@ -24,7 +24,11 @@
     void setBytes(MemoryBudget::Id id, std::size_t bytes, MemoryUse use);
     void recordProgress(MemoryBudget::Id id) { m_budget.recordProgress(id, Clock::now()); }
     bool isUnderPressure() const { return m_budget.isUnderPressure(); }
-    bool mayRead(MemoryBudget::Id id) const { return m_budget.mayRead(id); }
+    /// \brief As MemoryBudget::mayRead().
+    bool mayRead(MemoryBudget::Id id, std::size_t expected)
+    {
+        return m_budget.mayRead(id, expected);
+    }
     /// \brief Holds \a holder until there is memory again, and then resumes its reading.
     void pause(std::shared_ptr<MemoryHolder> holder);
     /// \brief True if \a id may hold \a bytes in total; closes others to that end if necessary.
--- a/src/http/MemoryBudget.cpp
+++ b/src/http/MemoryBudget.cpp
@@ -24,7 +24,7 @@
 
 void MemoryBudget::remove(Id id)
 {
-    m_held -= bytes(id);
+    setBytes(id, 0, MemoryUse::Exchange);
     m_holders.erase(id);
 }
 
@@ -33,16 +33,43 @@
     const auto found = m_holders.find(id);
     if (found == m_holders.end())
         return;
-    m_held = m_held - found->second.bytes + bytes;
-    found->second.bytes = bytes;
-    found->second.use = use;
+    Holder &holder = found->second;
+    m_held = m_held - holder.bytes + bytes;
+    m_reserved -= holder.reserved();
+    holder.bytes = bytes;
+    holder.use = use;
+    if (use == MemoryUse::Running || bytes == 0)
+        holder.granted = 0;
+    m_reserved += holder.reserved();
+}
+
+bool MemoryBudget::mayRead(Id id, std::size_t expected)
+{
+    const auto found = m_holders.find(id);
+    if (found == m_holders.end())
+        return true;
+    Holder &holder = found->second;
+    const bool isUnlimited
+        = !isUnderPressure() || holder.bytes <= s_smallBytes || holder.granted > 0;
+    holder.isWaiting = false;
+    if (isUnlimited)
+        return true;
+    const std::size_t needed = expected > holder.bytes ? expected - holder.bytes : 0;
+    holder.isWaiting = held() + m_reserved + needed > reserveLevel();
+    if (holder.isWaiting)
+        return false;
+    holder.granted = expected;
+    m_reserved += holder.reserved();
+    return true;
 }
 
 void MemoryBudget::recordProgress(Id id, TimePoint now)
 {
     const auto found = m_holders.find(id);
-    if (found != m_holders.end())
-        found->second.progressAt = now;
+    if (found == m_holders.end())
+        return;
+    found->second.progressAt = now;
+    found->second.isWaiting = false;
 }
 
 std::size_t MemoryBudget::bytes(Id id) const
@@ -51,6 +78,12 @@
     return found == m_holders.end() ? 0 : found->second.bytes;
 }
 
+MemoryUse MemoryBudget::use(Id id) const
+{
+    const auto found = m_holders.find(id);
+    return found == m_holders.end() ? MemoryUse::Exchange : found->second.use;
+}
+
 Duration MemoryBudget::timeWithoutProgress(Id id, TimePoint now) const
 {
     const auto found = m_holders.find(id);
@@ -74,7 +107,9 @@
     std::vector<std::pair<double, Id>> ranked;
     for (const auto &[id, holder] : m_holders) {
         const Duration stall = now - holder.progressAt;
-        if (id == exempt || holder.bytes == 0 || holder.use != use || stall < minStall)
+        const bool mayWait = holder.isWaiting && minStall > Duration::zero();
+        if (id == exempt || holder.bytes == 0 || holder.use != use
+            || stall < (mayWait ? Duration(s_waitTime) : minStall))
             continue;
         const std::chrono::duration<double> age = stall + activeAge;
         ranked.emplace_back(static_cast<double>(holder.bytes) * age.count(), id);
--- a/src/http/MemoryBudget.h
+++ b/src/http/MemoryBudget.h
@@ -19,9 +19,9 @@
 /// \brief The account of the memory that a process holds for callers and responses of servers.
 ///
 /// Does no I/O. Up to three quarters of the limit, nothing is restricted. Beyond, connections that
-/// hold more than a small request do not grow, and those without progress are closed. The last
-/// eighth is kept for small requests: beyond seven eighths, connections are closed even if they
-/// have just made progress.
+/// hold more than a small request only grow by a grant, which reserves the rest of their request,
+/// and those without progress are closed. The last eighth is kept for small requests: beyond seven
+/// eighths, connections are closed even if they have just made progress.
 class MemoryBudget
 {
 public:
@@ -34,6 +34,9 @@
     static constexpr std::size_t s_smallBytes = 16384;
     /// A caller on a poor connection seldom pauses that long within a request.
     static constexpr Milliseconds s_stallTime{500};
+    /// Callers abandon a request that is not read within a second; until then, one that waits for a
+    /// grant is not closed.
+    static constexpr Milliseconds s_waitTime{1000};
     /// Between checks under pressure: a tenth of the time after which a connection counts as
     /// stalled.
     static constexpr Milliseconds s_checkInterval = s_stallTime / 10;
@@ -47,6 +50,8 @@
     /// \brief Records that \a id has transferred bytes.
     void recordProgress(Id id, TimePoint now);
     std::size_t bytes(Id id) const;
+    /// \brief What \a id holds memory for; Exchange if it is unknown.
+    MemoryUse use(Id id) const;
     Duration timeWithoutProgress(Id id, TimePoint now) const;
 
     std::size_t limit() const { return m_limit; }
@@ -58,8 +63,10 @@
     bool isUnderPressure() const { return held() > pressureLevel(); }
     /// \brief True if only the reserve for small requests is left.
     bool isExhausted() const { return held() > reserveLevel(); }
-    /// \brief True if connection \a id may read more of a request.
-    bool mayRead(Id id) const { return !isUnderPressure() || bytes(id) <= s_smallBytes; }
+    /// \brief True if connection \a id may read on to a request of which it will hold \a expected
+    /// bytes in total. Under pressure this reserves room for them; without room the connection
+    /// counts as waiting until it asks again.
+    bool mayRead(Id id, std::size_t expected);
     /// \brief True if \a id may hold \a bytes in total from now on. Small ones may use the reserve.
     bool admits(Id id, std::size_t bytes) const;
     /// \brief Connections to close so that \a needed further bytes fit, in this order; those first
@@ -74,6 +81,10 @@
         std::size_t bytes = 0;
         TimePoint progressAt;
         MemoryUse use = MemoryUse::Exchange;
+        std::size_t granted = 0; ///< bytes that it may hold in total under pressure; 0: no grant
+        bool isWaiting = false; ///< is not read on for lack of memory
+
+        std::size_t reserved() const { return granted > bytes ? granted - bytes : 0; }
     };
 
     std::size_t pressureLevel() const { return m_limit / 4 * 3; }
@@ -84,6 +95,7 @@
     ByteBudget m_replies;
     std::unordered_map<Id, Holder> m_holders;
     std::size_t m_held = 0; ///< sum over m_holders
+    std::size_t m_reserved = 0; ///< the same of what is granted and not held yet
     Id m_lastId = 0;
 };
 
--- a/src/http/RequestStream.cpp
+++ b/src/http/RequestStream.cpp
@@ -99,6 +99,19 @@
         + (m_parser ? m_parser->headBytes() + m_parser->request().body.capacity() : 0);
 }
 
+std::size_t RequestStream::expectedBytes() const
+{
+    // A buffer that grows has up to twice the capacity that it needs.
+    constexpr std::size_t growth = 2;
+    if (!isHeaderDone())
+        return heldBytes() + growth * m_limits.maxHeaderBytes;
+    const std::string &body = m_parser->request().body;
+    const auto rest = m_parser->content_length_remaining();
+    const std::size_t whole = rest ? body.size() + *rest : m_limits.maxBodyBytes;
+    const std::size_t missing = whole > body.capacity() ? growth * whole - body.capacity() : 0;
+    return heldBytes() + missing;
+}
+
 std::size_t RequestStream::requestBytes() const
 {
     return m_parser ? m_parser->headBytes() + m_parser->request().body.size() : 0;
--- a/src/http/RequestStream.h
+++ b/src/http/RequestStream.h
@@ -40,6 +40,8 @@
     std::size_t waitingBytes() const { return m_waiting.size(); }
     /// \brief Bytes of memory that the waiting bytes and the next request occupy.
     std::size_t heldBytes() const;
+    /// \brief Bytes of memory that the next request will occupy once it is complete, at most.
+    std::size_t expectedBytes() const;
     /// \brief Bytes of the next request, as far as it has been parsed.
     std::size_t requestBytes() const;
     /// \brief Frees the buffer if it is empty and larger than \a keptBytes.
--- a/test/MemoryBudgetTest.cpp
+++ b/test/MemoryBudgetTest.cpp
@@ -79,9 +79,71 @@
     const Id id = budget.add(start);
     EXPECT_TRUE(budget.admits(id, MemoryBudget::s_smallBytes));
     EXPECT_FALSE(budget.admits(id, MemoryBudget::s_smallBytes + 1));
-    EXPECT_TRUE(budget.mayRead(id));
+    EXPECT_TRUE(budget.mayRead(id, 2 * mb));
     budget.setBytes(id, MemoryBudget::s_smallBytes + 1, MemoryUse::Exchange);
-    EXPECT_FALSE(budget.mayRead(id));
+    EXPECT_FALSE(budget.mayRead(id, 2 * mb));
+}
+
+struct GrantCase
+{
+    std::string name;
+    double othersHold; ///< MB
+    std::vector<double> expected; ///< MB in total of connections that hold 1 MB each, in this order
+    std::vector<bool> mayRead;
+};
+
+class MemoryGrantTest : public testing::TestWithParam<GrantCase>
+{ };
+
+/// Guards against connections that share what is left, so that none of them gets its request whole,
+/// and against granting the same memory twice.
+TEST_P(MemoryGrantTest, reservesTheRestOfARequest)
+{
+    MemoryBudget budget(smallHost);
+    addHolder(budget, static_cast<std::size_t>(GetParam().othersHold * mb), 0s);
+    std::vector<Id> ids;
+    for (std::size_t i = 0; i < GetParam().expected.size(); ++i)
+        ids.push_back(addHolder(budget, mb, 0s));
+    std::vector<bool> mayRead;
+    for (std::size_t i = 0; i < ids.size(); ++i)
+        mayRead.push_back(
+            budget.mayRead(ids[i], static_cast<std::size_t>(GetParam().expected[i] * mb)));
+    EXPECT_EQ(mayRead, GetParam().mayRead);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, MemoryGrantTest,
+                         testing::Values(GrantCase{"noPressure", 2, {9, 9}, {true, true}},
+                                         GrantCase{"roomForOne", 14, {1.8, 1.8}, {true, false}},
+                                         GrantCase{
+                                             "roomForTheSmaller", 14, {2.5, 1.4}, {false, true}},
+                                         GrantCase{"noRoom", 17, {1.1, 1.1}, {false, false}}),
+                         [](const auto &info) { return info.param.name; });
+
+/// Guards against grants that outlast their request.
+TEST(MemoryBudgetTest, aGrantEndsWithItsRequest)
+{
+    MemoryBudget budget(smallHost);
+    addHolder(budget, 14 * mb, 0s);
+    const Id first = addHolder(budget, mb, 0s);
+    const Id second = addHolder(budget, mb, 0s);
+    ASSERT_TRUE(budget.mayRead(first, 2 * mb));
+    ASSERT_FALSE(budget.mayRead(second, 2 * mb));
+    budget.setBytes(first, 0, MemoryUse::Exchange);
+    budget.setBytes(first, mb, MemoryUse::Exchange);
+    EXPECT_TRUE(budget.mayRead(second, 2 * mb));
+    EXPECT_FALSE(budget.mayRead(first, 2 * mb));
+}
+
+/// Guards against closing callers for a pause that is not theirs, and against keeping those that
+/// wait for longer than callers do.
+TEST(MemoryBudgetTest, aWaitingConnectionIsClosedLater)
+{
+    MemoryBudget budget(smallHost);
+    addHolder(budget, 14 * mb, 0s);
+    const Id id = addHolder(budget, 2 * mb, 999ms);
+    ASSERT_FALSE(budget.mayRead(id, 4 * mb));
+    EXPECT_TRUE(budget.selectForClose(0, 0, start).empty());
+    EXPECT_EQ(budget.selectForClose(0, 0, start + 1ms), std::vector<Id>{id});
 }
 
 /// Guards against memory that stays accounted for after its connection has closed.
