Bound what callers of the daemons can occupy

What callers saw: callers one byte short of 1 MB made gwt-entry, or any daemon by its admin address, grow until the system ended it: 200 of them took the entry to 306 MB, a relay to 279 and the booking daemon to 293. The same by chunks, in pieces, trickled, with returning callers, with 700 heads of tiny fields (88 MB), and 400 idle connections took 425 descriptors of 200.

Cause: HttpServer limits each request and the number of connections, 1 MB and 10,000, and not the whole.

Change: the servers of a process share one account (ServerMemory, a MemoryBudget with a lock) from limits.memory_mb and limits.max_fds of the settings, with the levels, the grants, the stalls and the receive buffers of the gateway. The connection is a class of its own that reads with the gateway's RequestStream instead of Beast's composed read, accounts for what it holds, and is ended with 408, refused whole with 503 and Retry-After, or closed within a response. A 408 or 503 is only sent before the handler is called, so "notRun" is true. Running requests are not ended. When few connections are left, idle ones are closed. A search is counted 16 times while it is handled, and entry.max_body_bytes is lowered to what fits. Admin addresses take bodies up to 4 KB, as none of their paths reads one.

--- a/src/daemon/AdminServer.cpp
+++ b/src/daemon/AdminServer.cpp
@@ -2,14 +2,30 @@
 
 namespace gwt {
 
-AdminServer::AdminServer(Executor executor, const Readiness &readiness, const Metrics &metrics,
+namespace {
+
+HttpServerLimits adminLimits(const HostLimits &host)
+{
+    HttpServerLimits limits;
+    limits.maxBodyBytes = 4096; // no admin path reads a body
+    limits.maxConnections = host.maxAdminConnections();
+    limits.receiveBufferBytes = host.receiveBufferBytes();
+    return limits;
+}
+
+} // namespace
+
+AdminServer::AdminServer(Executor executor, const HostLimits &limits, ServerMemory &memory,
+                         const Readiness &readiness, const Metrics &metrics,
                          std::function<std::string()> status, Inspector inspect)
     : m_readiness(readiness)
     , m_metrics(metrics)
     , m_status(std::move(status))
     , m_inspect(std::move(inspect))
-    , m_server(std::move(executor), HttpServerLimits{},
-               [this](HttpRequest request) -> Task<HttpResponse> { co_return answer(request); })
+    , m_server(
+          std::move(executor), adminLimits(limits),
+          [this](HttpRequest request) -> Task<HttpResponse> { co_return answer(request); }, {},
+          &memory)
 { }
 
 HttpResponse AdminServer::answer(const HttpRequest &request) const
--- a/src/daemon/AdminServer.h
+++ b/src/daemon/AdminServer.h
@@ -18,7 +18,8 @@
     /// path.
     using Inspector = std::function<std::optional<std::string>(const std::string &path)>;
 
-    AdminServer(Executor executor, const Readiness &readiness, const Metrics &metrics,
+    AdminServer(Executor executor, const HostLimits &limits, ServerMemory &memory,
+                const Readiness &readiness, const Metrics &metrics,
                 std::function<std::string()> status, Inspector inspect);
 
     Outcome<Endpoint> listen(const Endpoint &local) { return m_server.listen(local); }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/Daemon.h"
 
+#include "common/Allocator.h"
 #include "common/Log.h"
 #include "daemon/AdminServer.h"
 #include "daemon/CommandLine.h"
@@ -142,8 +143,9 @@
     const DaemonStatus status(services.options, services.readiness, services.config,
                               services.membership, role);
     AdminServer admin(
-        services.pool.executor(), services.readiness, services.metrics,
-        [&] { return status.json(); }, [&](const std::string &path) { return role.inspect(path); });
+        services.pool.executor(), services.options.hostLimits, services.serverMemory,
+        services.readiness, services.metrics, [&] { return status.json(); },
+        [&](const std::string &path) { return role.inspect(path); });
     const Outcome<Endpoint> adminBound = admin.listen(services.options.admin);
     const Outcome<Done> started = role.start();
     const Outcome<Endpoint> peerBound = services.peerServer.listen(services.options.peer);
@@ -173,6 +175,7 @@
 
 int runDaemon(const DaemonProgram &program, int argc, char **argv)
 {
+    returnLargeBuffers();
     auto invocation = parseCommandLine(program.name, program.summary, argc, argv);
     if (const int *status = std::get_if<int>(&invocation))
         return *status;
--- a/src/daemon/DaemonOptions.cpp
+++ b/src/daemon/DaemonOptions.cpp
@@ -5,6 +5,10 @@
 namespace {
 
 constexpr Milliseconds maxDrain{600'000};
+constexpr std::int64_t minMemoryMb = 32; ///< the program alone takes most of it
+constexpr std::int64_t maxMemoryMb = 1 << 20;
+constexpr std::int64_t minFds = 64;
+constexpr std::int64_t maxFds = 1 << 20;
 
 std::uint16_t readPort(Settings &settings, const std::string &key, std::int64_t fallback)
 {
@@ -45,6 +49,11 @@
     options.role = role;
     options.gossip = readEndpoint(settings, "membership.listen",
                                   {options.peer.address, options.gossipPorts[role]});
+    options.hostLimits.memoryMb = static_cast<std::size_t>(
+        settings.integer("limits.memory_mb", 256, minMemoryMb, maxMemoryMb));
+    options.hostLimits.maxFds
+        = static_cast<int>(settings.integer("limits.max_fds", maxFds, minFds, maxFds));
+    options.hostLimits = options.hostLimits.withinSystem();
     options.seeds = settings.endpoints("membership.seeds");
     return options;
 }
--- a/src/daemon/DaemonOptions.h
+++ b/src/daemon/DaemonOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/Settings.h"
+#include "http/HostLimits.h"
 #include "membership/Member.h"
 
 #include <map>
@@ -26,6 +27,7 @@
     Role role = Role::Entry;
     Endpoint gossip; ///< UDP; by default the peer address with the role's gossip port
     std::map<Role, std::uint16_t> gossipPorts; ///< the same on every host
+    HostLimits hostLimits; ///< of this process
     std::vector<Endpoint> seeds; ///< gossip addresses to join through, in addition to our own hosts
 
     static DaemonOptions read(Settings &settings, Role role);
--- a/src/daemon/DaemonServices.h
+++ b/src/daemon/DaemonServices.h
@@ -7,6 +7,7 @@
 #include "daemon/Readiness.h"
 #include "distribution/ConfigDistributor.h"
 #include "http/HttpClient.h"
+#include "http/ServerMemory.h"
 #include "membership/GossipMembership.h"
 #include "peer/PeerClient.h"
 #include "peer/PeerServer.h"
@@ -22,6 +23,7 @@
     DaemonOptions options;
     WorkerPool pool;
     Metrics metrics;
+    ServerMemory serverMemory; ///< of all HTTP servers of this process
     Readiness readiness;
     HttpClient httpClient;
     std::unique_ptr<PlatformAccess> platform; ///< never null
--- a/src/entry/EntryRole.cpp
+++ b/src/entry/EntryRole.cpp
@@ -1,5 +1,6 @@
 #include "entry/EntryRole.h"
 
+#include "common/Log.h"
 #include "entry/ApiError.h"
 
 namespace gwt {
@@ -9,6 +10,25 @@
 const std::string bookingsPath = "/v1/bookings";
 const std::string requestsPath = "/requests/";
 
+/// Copies of a request in memory while it is handled: as received, as JSON, as a query, and for
+/// each of up to four slices as a message, serialized, and in the session.
+constexpr std::size_t handledCopies = 16;
+
+/// \brief \a limits, as far as the host can bear them.
+HttpServerLimits withinHost(HttpServerLimits limits, const HostLimits &host)
+{
+    limits.maxConnections = std::min(limits.maxConnections, host.maxCallers());
+    limits.receiveBufferBytes = host.receiveBufferBytes();
+    limits.handledCopies = handledCopies;
+    const std::size_t mostBodyBytes = host.largestRequest(handledCopies);
+    if (limits.maxBodyBytes > mostBodyBytes) {
+        logWarning("body_limit_lowered",
+                   {{"max_body_bytes", limits.maxBodyBytes}, {"lowered_to", mostBodyBytes}});
+        limits.maxBodyBytes = mostBodyBytes;
+    }
+    return limits;
+}
+
 } // namespace
 
 EntryOptions EntryOptions::read(Settings &settings)
@@ -38,8 +58,10 @@
     , m_search(services.pool.executor(), services.config, services.membership, services.peerClient,
                m_gate, services.metrics)
     , m_bookings(services.config, services.membership, services.peerClient, services.metrics)
-    , m_server(services.pool.executor(), m_options.limits,
-               [this](HttpRequest request) { return route(std::move(request)); })
+    , m_server(
+          services.pool.executor(), withinHost(m_options.limits, services.options.hostLimits),
+          [this](HttpRequest request) { return route(std::move(request)); }, {},
+          &services.serverMemory)
 { }
 
 Outcome<Done> EntryRole::start()
--- a/src/http/HostLimits.h
+++ b/src/http/HostLimits.h
@@ -43,6 +43,8 @@
         const std::size_t share = budgetBytes() / std::max<std::size_t>(1, maxCallers());
         return static_cast<int>(std::clamp(share, least, most));
     }
+    /// \brief Largest request, in bytes, that can be handled with \a copies of it in memory.
+    std::size_t largestRequest(std::size_t copies) const { return budgetBytes() / 8 * 7 / copies; }
     /// \brief Connections to the address of health and metrics; 0: no limit.
     std::size_t maxAdminConnections() const
     {
--- a/src/http/Http.h
+++ b/src/http/Http.h
@@ -18,5 +18,6 @@
 #include "http/RequestParsing.h"
 #include "http/RequestSizeLimits.h"
 #include "http/RequestStream.h"
+#include "http/ServerMemory.h"
 #include "http/StatusClass.h"
 #include "http/WireRequest.h"
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -2,16 +2,14 @@
 
 #include "common/Listener.h"
 #include "common/Sleep.h"
-#include "http/ParserLimits.h"
-#include "http/RequestParser.h"
 #include "http/RequestParsing.h"
+#include "http/internal/ServerConnection.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <atomic>
+#include <algorithm>
 #include <list>
 #include <mutex>
 #include <sstream>
@@ -27,38 +25,28 @@
 
 constexpr Milliseconds acceptRetryDelay{20};
 constexpr Milliseconds idleGracePeriod{200}; ///< from listener close to idle connection close
-constexpr std::size_t readBytes = 4096;
-constexpr std::uint32_t maxHeaderBytes = 8192;
-constexpr Milliseconds discardTimeout{500}; ///< to read the rest of a rejected request
+constexpr std::size_t maxHeaderBytes = 8192;
+/// Part of the limit on connections that is kept free, so that ordinary callers find room.
+constexpr std::size_t freeShare = 64;
 
 } // namespace
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
+    using Phase = ServerConnection::Phase;
+    using ConnectionPtr = std::shared_ptr<ServerConnection>;
+
     Impl(Executor serverExecutor, HttpServerLimits serverLimits, HttpHandler serverHandler,
-         HttpWireFilter wireFilter)
+         HttpWireFilter wireFilter, ServerMemory *serverMemory)
         : executor(std::move(serverExecutor))
         , limits(serverLimits)
+        , sizeLimits{maxHeaderBytes, serverLimits.maxBodyBytes}
         , handler(std::move(serverHandler))
         , filter(std::move(wireFilter))
+        , memory(serverMemory)
         , acceptor(asio::make_strand(executor))
     { }
 
-    struct Connection
-    {
-        explicit Connection(tcp::socket socket)
-            : stream(std::move(socket))
-        { }
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer{maxUnparsedBytes};
-        std::atomic<bool> isIdle = true;
-        bool isReading = false; ///< a request has been read in part
-        bool isHandling = false; ///< a handler runs
-        bool isEnded = false; ///< endRequest() has answered in place of the handler
-        bool isFirstRequest = true; ///< no request has been read yet
-    };
-    using ConnectionPtr = std::shared_ptr<Connection>;
-
     Task<void> acceptLoop();
     Task<void> serve(ConnectionPtr connection);
     Task<bool> serveOne(ConnectionPtr connection);
@@ -67,22 +55,23 @@
     Task<bool> write(ConnectionPtr connection, HttpResponse response, bool keepAlive);
     Task<bool> writeFiltered(ConnectionPtr connection, HttpWireBytes wire);
     Task<HttpResponse> runHandler(ConnectionPtr connection, HttpRequest request);
-    static Task<void> watchForClose(ConnectionPtr connection, CancelToken cancel,
-                                    std::shared_ptr<std::atomic<bool>> isDone);
     void forEach(const std::function<void(const ConnectionPtr &)> &action);
-    static Task<void> discardInput(ConnectionPtr connection);
     Task<bool> awaitRequest(ConnectionPtr connection);
     void startConnection(tcp::socket socket);
+    std::vector<ConnectionPtr> openConnections();
+    bool makeRoom();
     void closeListener();
     bool mayContinue(const ConnectionPtr &connection) const;
     static void closeIfIdle(const ConnectionPtr &connection);
     void add(const ConnectionPtr &connection);
-    void remove(const Connection *connection);
+    void remove(const ServerConnection *connection);
 
     Executor executor;
     HttpServerLimits limits;
+    RequestSizeLimits sizeLimits;
     HttpHandler handler;
     HttpWireFilter filter;
+    ServerMemory *memory;
     tcp::acceptor acceptor;
     std::atomic<bool> isDraining = false; ///< close each connection after its next response
     std::atomic<bool> isStopping = false;
@@ -90,7 +79,7 @@
     std::atomic<bool> isEnding = false; ///< answer all requests with endResponse
     std::atomic<int> inProgress = 0;
     mutable std::mutex mutex; ///< guards connections
-    std::list<std::weak_ptr<Connection>> connections;
+    std::list<std::weak_ptr<ServerConnection>> connections;
     std::atomic<int> connectionCount = 0;
 };
 
@@ -98,12 +87,11 @@
 /// that have arrived already are still answered.
 bool HttpServer::Impl::mayContinue(const ConnectionPtr &connection) const
 {
-    if (!isDraining || connection->buffer.size() > 0)
+    if (!isDraining || connection->requests.waitingBytes() > 0)
         return true;
     char byte = 0;
     error_code failure;
     tcp::socket &socket = connection->stream.socket();
-    socket.non_blocking(true, failure);
     return socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure) > 0;
 }
 
@@ -113,7 +101,7 @@
     const auto timer
         = std::make_shared<asio::steady_timer>(connection->stream.get_executor(), idleGracePeriod);
     timer->async_wait([timer, connection](const error_code &) {
-        if (connection->isIdle)
+        if (connection->phase() == Phase::Idle)
             connection->stream.cancel();
     });
 }
@@ -125,27 +113,30 @@
     ++connectionCount;
 }
 
-void HttpServer::Impl::remove(const Connection *connection)
+void HttpServer::Impl::remove(const ServerConnection *connection)
 {
     const std::lock_guard lock(mutex);
-    connections.remove_if([connection](const std::weak_ptr<Connection> &one) {
+    connections.remove_if([connection](const std::weak_ptr<ServerConnection> &one) {
         const auto other = one.lock();
         return !other || other.get() == connection;
     });
     --connectionCount;
 }
 
-void HttpServer::Impl::forEach(const std::function<void(const ConnectionPtr &)> &action)
+std::vector<HttpServer::Impl::ConnectionPtr> HttpServer::Impl::openConnections()
 {
-    std::vector<ConnectionPtr> all;
-    {
-        const std::lock_guard lock(mutex);
-        for (const auto &one : connections) {
-            if (auto connection = one.lock())
-                all.push_back(std::move(connection));
-        }
+    std::vector<ConnectionPtr> open;
+    const std::lock_guard lock(mutex);
+    for (const auto &one : connections) {
+        if (auto connection = one.lock())
+            open.push_back(std::move(connection));
     }
-    for (const auto &connection : all)
+    return open;
+}
+
+void HttpServer::Impl::forEach(const std::function<void(const ConnectionPtr &)> &action)
+{
+    for (const auto &connection : openConnections())
         asio::post(connection->stream.get_executor(), [action, connection] { action(connection); });
 }
 
@@ -168,17 +159,48 @@
 
 void HttpServer::Impl::startConnection(tcp::socket socket)
 {
-    if (connectionCount >= static_cast<int>(limits.maxConnections))
-        return;
-    error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    auto connection = std::make_shared<Connection>(std::move(socket));
+    if (!makeRoom())
+        return; // closes the socket
+    auto connection = std::make_shared<ServerConnection>(std::move(socket), sizeLimits, memory);
+    connection->start();
     add(connection);
     spawn(connection->stream.get_executor(), serve(connection));
     if (!acceptor.is_open())
         closeIfIdle(connection);
 }
 
+/// \brief Closes connections if the limit is almost reached: first idle ones, then those that send
+/// a request or read a response, each the one longest without progress first. Those with a running
+/// request stay. False if there is no room.
+bool HttpServer::Impl::makeRoom()
+{
+    const auto open = static_cast<std::size_t>(connectionCount);
+    const std::size_t wanted = limits.maxConnections / freeShare + 1;
+    if (open + wanted <= limits.maxConnections)
+        return true;
+    using Candidate = std::pair<std::pair<bool, TimePoint>, ConnectionPtr>;
+    std::vector<Candidate> candidates;
+    std::size_t dropped = 0; // by an earlier call, and not closed yet
+    for (auto &connection : openConnections()) {
+        const Phase phase = connection->phase();
+        dropped += connection->isDropped ? 1 : 0;
+        if (!connection->isDropped && phase != Phase::Handling)
+            candidates.push_back({{phase != Phase::Idle, connection->progressAt()}, connection});
+    }
+    std::sort(candidates.begin(), candidates.end());
+    const std::size_t count
+        = dropped >= wanted ? 0 : std::min(candidates.size(), 2 * wanted - dropped);
+    for (std::size_t i = 0; i < count; ++i) {
+        const ConnectionPtr &connection = candidates[i].second;
+        connection->isDropped = true;
+        asio::post(connection->stream.get_executor(), [connection] { connection->drop(); });
+    }
+    const bool hasRoom = open < limits.maxConnections;
+    if (memory && (count > 0 || !hasRoom))
+        memory->recordDropped(count + (hasRoom ? 0 : 1), limits.maxConnections);
+    return hasRoom;
+}
+
 void HttpServer::Impl::closeListener()
 {
     error_code failure;
@@ -214,68 +236,61 @@
 /// \brief Waits for the first bytes of a request; returns false to close the connection.
 Task<bool> HttpServer::Impl::awaitRequest(ConnectionPtr connection)
 {
-    connection->isIdle = true;
-    connection->stream.expires_after(limits.idleTimeout);
-    const auto [failure, bytes] = co_await connection->stream.async_read_some(
-        connection->buffer.prepare(readBytes), asTuple);
-    connection->isIdle = false;
-    if (!failure) {
-        connection->buffer.commit(bytes);
-        co_return true;
-    }
+    connection->setPhase(Phase::Idle);
+    asio::steady_timer timer(connection->stream.get_executor(), limits.idleTimeout);
+    timer.async_wait([connection](const error_code &stopped) {
+        if (!stopped && connection->phase() == Phase::Idle)
+            connection->stream.cancel();
+    });
+    const error_code failure = co_await connection->receive();
+    connection->setPhase(Phase::Reading);
     if (failure != asio::error::operation_aborted)
-        co_return false;
+        co_return !failure;
     // Cancelled while idle; a request may have arrived at the same time.
-    error_code state;
-    tcp::socket &socket = connection->stream.socket();
-    socket.non_blocking(true, state);
-    const std::size_t count = socket.read_some(connection->buffer.prepare(readBytes), state);
-    connection->buffer.commit(state ? 0 : count);
-    co_return !state && count > 0;
+    co_return !connection->receiveArrived();
 }
 
 Task<bool> HttpServer::Impl::serveOne(ConnectionPtr connection)
 {
-    RequestParser parser(maxHeaderBytes, limits.maxBodyBytes);
-    if (connection->buffer.size() == 0 && !co_await awaitRequest(connection))
+    if (connection->requests.waitingBytes() == 0 && !co_await awaitRequest(connection))
         co_return false;
     ++inProgress;
-    connection->stream.expires_never();
-    // The stream's own timeout would close the socket before the 408 response is sent.
-    const auto hasTimedOut = std::make_shared<bool>(false);
+    connection->setPhase(Phase::Reading);
     asio::steady_timer timer(connection->stream.get_executor(), limits.requestTimeout);
-    timer.async_wait([connection, hasTimedOut](const error_code &stopped) {
-        if (stopped)
-            return;
-        *hasTimedOut = true;
-        connection->stream.cancel();
+    // A handler that is queued already runs in spite of cancel(), perhaps within the next request.
+    const auto isReceived = std::make_shared<bool>(false);
+    timer.async_wait([connection, isReceived](const error_code &stopped) {
+        if (!stopped && !*isReceived)
+            connection->endReceiving(beast::error::timeout);
     });
-    connection->isReading = true;
-    const auto [failure, bytes]
-        = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple);
-    connection->isReading = false;
+    const error_code failure = co_await connection->receiveRequest();
+    *isReceived = true;
     timer.cancel();
     if (failure) {
-        const bool isInterrupted
-            = isEnding && !*hasTimedOut && failure == asio::error::operation_aborted;
-        const auto errorResponse = isInterrupted
-            ? std::optional(endResponse)
-            : errorResponseFor(*hasTimedOut ? make_error_code(beast::error::timeout) : failure);
+        const bool isInterrupted = isEnding && failure == asio::error::operation_aborted;
+        const auto errorResponse
+            = isInterrupted ? std::optional(endResponse) : errorResponseFor(failure);
         if (errorResponse) {
             co_await write(connection, *errorResponse, false);
-            co_await discardInput(connection);
+            co_await connection->discardInput();
         }
         --inProgress;
         co_return false;
     }
-    const bool keepAlive = parser.request().keepAlive;
-    HttpRequest request = toRequest(parser.release());
+    const bool isAdmitted = connection->admitRequest(limits.handledCopies);
+    WireRequest message = isAdmitted ? connection->requests.take() : WireRequest{};
+    const bool keepAlive = isAdmitted && message.keepAlive;
+    HttpRequest request = toRequest(std::move(message));
     request.isFirstOnConnection = std::exchange(connection->isFirstRequest, false);
-    HttpResponse response = co_await runHandler(connection, std::move(request));
+    HttpResponse response = memoryRefusal();
+    if (isAdmitted)
+        response = co_await runHandler(connection, std::move(request));
     if (connection->isEnded)
         co_return false;
     const bool staysOpen = keepAlive && !isEnding && !response.mustClose && mayContinue(connection);
     const bool isWritten = co_await write(connection, std::move(response), staysOpen);
+    if (!isAdmitted)
+        co_await connection->discardInput();
     --inProgress;
     co_return isWritten &&staysOpen;
 }
@@ -285,64 +300,32 @@
 {
     const auto self = shared_from_this();
     co_await write(connection, endResponse, false);
-    co_await discardInput(connection);
+    co_await connection->discardInput();
     --inProgress;
     close(connection);
 }
 
-/// \brief Discards the rest of a rejected request; closing with unread input would reset the
-/// connection, and the caller could lose the response.
-Task<void> HttpServer::Impl::discardInput(ConnectionPtr connection)
-{
-    error_code ignored;
-    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    connection->stream.expires_after(discardTimeout);
-    std::vector<char> buffer(readBytes);
-    bool isOpen = true;
-    while (isOpen) {
-        const auto [failure, bytes]
-            = co_await connection->stream.async_read_some(asio::buffer(buffer), asTuple);
-        isOpen = !failure;
-    }
-}
-
 Task<HttpResponse> HttpServer::Impl::runHandler(ConnectionPtr connection, HttpRequest request)
 {
     if (isEnding)
         co_return endResponse;
     const auto isDone = std::make_shared<std::atomic<bool>>(false);
     const CancelToken cancel = request.cancel;
-    if (connection->buffer.size() == 0)
-        spawn(connection->stream.get_executor(), watchForClose(connection, cancel, isDone));
-    connection->isHandling = true;
+    if (connection->requests.waitingBytes() == 0)
+        spawn(connection->stream.get_executor(),
+              ServerConnection::watchForClose(connection, cancel, isDone));
+    connection->setPhase(Phase::Handling);
     HttpResponse response = co_await handler(std::move(request));
-    connection->isHandling = false;
     *isDone = true;
     if (!connection->isEnded && connection->stream.socket().is_open())
         connection->stream.socket().cancel();
     co_return response;
 }
 
-Task<void> HttpServer::Impl::watchForClose(ConnectionPtr connection, CancelToken cancel,
-                                           std::shared_ptr<std::atomic<bool>> isDone)
-{
-    const auto [failure]
-        = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, asTuple);
-    if (failure || *isDone)
-        co_return;
-    char probe = 0;
-    error_code state;
-    connection->stream.socket().non_blocking(true, state);
-    const std::size_t count = connection->stream.socket().receive(asio::buffer(&probe, 1),
-                                                                  tcp::socket::message_peek, state);
-    const bool isDisconnected
-        = (state && state != asio::error::would_block) || (!state && count == 0);
-    if (isDisconnected)
-        cancel.cancel();
-}
-
 Task<bool> HttpServer::Impl::write(ConnectionPtr connection, HttpResponse response, bool keepAlive)
 {
+    connection->setPhase(Phase::Writing);
+    connection->holdResponse(response.body.capacity());
     http::response<http::string_body> message;
     message.version(11);
     message.result(static_cast<unsigned>(response.status));
@@ -352,14 +335,20 @@
     message.keep_alive(keepAlive);
     message.prepare_payload();
     connection->stream.expires_after(limits.requestTimeout);
+    bool isWritten = false;
     if (filter) {
         std::ostringstream text;
         text << message;
         HttpWireBytes wire = filter(HttpWireBytes{text.str(), false});
-        co_return co_await writeFiltered(connection, std::move(wire));
+        isWritten = co_await writeFiltered(connection, std::move(wire));
+    } else {
+        const auto [failure, bytes]
+            = co_await http::async_write(connection->stream, message, asTuple);
+        isWritten = !failure;
     }
-    const auto [failure, bytes] = co_await http::async_write(connection->stream, message, asTuple);
-    co_return !failure;
+    connection->stream.expires_never();
+    connection->releaseRequest();
+    co_return isWritten;
 }
 
 Task<bool> HttpServer::Impl::writeFiltered(ConnectionPtr connection, HttpWireBytes wire)
@@ -370,9 +359,9 @@
 }
 
 HttpServer::HttpServer(Executor executor, HttpServerLimits limits, HttpHandler handler,
-                       HttpWireFilter filter)
-    : m_impl(
-        std::make_shared<Impl>(std::move(executor), limits, std::move(handler), std::move(filter)))
+                       HttpWireFilter filter, ServerMemory *memory)
+    : m_impl(std::make_shared<Impl>(std::move(executor), limits, std::move(handler),
+                                    std::move(filter), memory))
 { }
 
 HttpServer::~HttpServer()
@@ -383,7 +372,7 @@
 Outcome<Endpoint> HttpServer::listen(const Endpoint &local)
 {
     tcp::acceptor &acceptor = m_impl->acceptor;
-    Outcome<Endpoint> bound = openListener(acceptor, local);
+    Outcome<Endpoint> bound = openListener(acceptor, local, m_impl->limits.receiveBufferBytes);
     if (isOk(bound))
         spawn(acceptor.get_executor(), m_impl->acceptLoop());
     return bound;
@@ -412,11 +401,11 @@
     m_impl->endResponse = std::move(response);
     m_impl->isEnding = true;
     m_impl->forEach([impl = m_impl](const Impl::ConnectionPtr &connection) {
-        if (connection->isHandling) {
+        if (connection->phase() == ServerConnection::Phase::Handling) {
             connection->isEnded = true;
             spawn(connection->stream.get_executor(), impl->endRequest(connection));
-        } else if (connection->isReading) {
-            connection->stream.cancel();
+        } else if (connection->phase() == ServerConnection::Phase::Reading) {
+            connection->endReceiving(asio::error::operation_aborted);
         }
     });
 }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,6 +4,7 @@
 #include "common/Task.h"
 #include "common/Time.h"
 #include "http/HttpMessage.h"
+#include "http/ServerMemory.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,8 @@
     std::size_t maxConnections = 10'000;
     Milliseconds requestTimeout{10'000}; ///< from the first byte of a request to its last
     Milliseconds idleTimeout{60'000}; ///< between two requests of one connection
+    int receiveBufferBytes = 0; ///< in the kernel, of each connection; 0: the system's default
+    std::size_t handledCopies = 3; ///< of a request in memory while it is handled
 };
 
 /// \brief Handles one request. Must not throw.
@@ -39,9 +42,10 @@
 class HttpServer
 {
 public:
-    /// \brief Creates a server; without a \a filter, responses are sent unchanged.
+    /// \brief Creates a server; without a \a filter, responses are sent unchanged. \a memory limits
+    /// what its callers occupy, with those of other servers; null: no limit.
     HttpServer(Executor executor, HttpServerLimits limits, HttpHandler handler,
-               HttpWireFilter filter = {});
+               HttpWireFilter filter = {}, ServerMemory *memory = nullptr);
     ~HttpServer();
 
     /// \brief Binds and starts accepting. Port 0 selects a free port.
--- a/src/http/RequestParsing.cpp
+++ b/src/http/RequestParsing.cpp
@@ -40,6 +40,8 @@
         return HttpResponse::json(431, errorBody("headers_too_large", "the headers are too large"));
     if (failure == beast::error::timeout)
         return HttpResponse::json(408, errorBody("request_timeout", "the request came too slowly"));
+    if (failure == boost::system::errc::not_enough_memory)
+        return HttpResponse::json(408, errorBody("memory", "too little memory to read on"));
     if (failure == http::error::end_of_stream || failure == http::error::partial_message)
         return std::nullopt;
     if (failure.category() == http::make_error_code(http::error::bad_version).category())
@@ -47,4 +49,11 @@
     return std::nullopt;
 }
 
+HttpResponse memoryRefusal()
+{
+    HttpResponse response = HttpResponse::json(503, errorBody("memory", "too little memory"));
+    response.headers["retry-after"] = "1"; // s; callers that stall are ended sooner
+    return response;
+}
+
 } // namespace gwt
--- a/test/PagesTest.cpp
+++ b/test/PagesTest.cpp
@@ -61,7 +61,7 @@
 }
 
 const std::string settingsKey
-    = "((?:daemon|platform|membership|distribution|entry|relay|booking)\\.[a-z0-9_]+)";
+    = "((?:daemon|limits|platform|membership|distribution|entry|relay|booking)\\.[a-z0-9_]+)";
 
 INSTANTIATE_TEST_SUITE_P(
     All, PagesTest,
--- a/test/ProcessFleet.cpp
+++ b/test/ProcessFleet.cpp
@@ -273,6 +273,12 @@
         ::kill(found->second, signalNumber);
 }
 
+pid_t ProcessFleet::pid(const std::string &name) const
+{
+    const auto found = m_processes.find(name);
+    return found == m_processes.end() ? 0 : found->second;
+}
+
 int ProcessFleet::waitExit(const std::string &name)
 {
     const auto found = m_processes.find(name);
--- a/test/ProcessFleet.h
+++ b/test/ProcessFleet.h
@@ -48,6 +48,8 @@
     bool waitReady(const std::string &name);
 
     void signal(const std::string &name, int signalNumber);
+    /// \brief Process id of \a name; 0 if it wasn't started or waitExit() has returned its status.
+    pid_t pid(const std::string &name) const;
     /// \brief Waits for the process to end; returns its exit status, or the negated signal number.
     int waitExit(const std::string &name);
 
