Bound large messages of other daemons

What callers saw: 100 callers that send searches of 1 MB take the relay to 173 MB, 100 that send bookings of 1 MB the booking daemon to 125 MB, with 64 MB allowed.

Cause: a daemon handles each message that the others send, up to 16 MB, whatever it holds already.

--- a/src/daemon/DaemonModule.h
+++ b/src/daemon/DaemonModule.h
@@ -10,5 +10,6 @@
 #include "daemon/DaemonRole.h"
 #include "daemon/DaemonServices.h"
 #include "daemon/DaemonStatus.h"
+#include "daemon/PeerMemory.h"
 #include "daemon/ProgramRunner.h"
 #include "daemon/Readiness.h"
--- a/src/daemon/DaemonServices.cpp
+++ b/src/daemon/DaemonServices.cpp
@@ -46,7 +46,8 @@
     , hostList(platform->hostList())
     , membership(pool.executor(), hostList, metrics, selfOf(options), seedsOf(options), {})
     , peerClient(pool.executor(), peerConnectTimeout, metrics)
-    , peerServer(pool.executor())
+    , peerMemory(serverMemory)
+    , peerServer(pool.executor(), &peerMemory)
     , follower(pool.executor(), store, config, membership, peerClient, peerServer, metrics,
                distributionOptions(options))
 { }
--- a/src/daemon/DaemonServices.h
+++ b/src/daemon/DaemonServices.h
@@ -4,6 +4,7 @@
 #include "common/WorkerPool.h"
 #include "control/ConfigHolder.h"
 #include "daemon/DaemonOptions.h"
+#include "daemon/PeerMemory.h"
 #include "daemon/Readiness.h"
 #include "distribution/ConfigDistributor.h"
 #include "http/HttpClient.h"
@@ -32,6 +33,7 @@
     ConfigHolder config;
     GossipMembership membership;
     PeerClient peerClient;
+    PeerMemory peerMemory;
     PeerServer peerServer;
     ConfigDistributor follower;
 };
--- a/src/peer/Peer.h
+++ b/src/peer/Peer.h
@@ -8,4 +8,5 @@
 #include "peer/PeerClient.h"
 #include "peer/PeerCodec.h"
 #include "peer/PeerMessage.h"
+#include "peer/PeerMessageGate.h"
 #include "peer/PeerServer.h"
--- a/src/peer/PeerServer.cpp
+++ b/src/peer/PeerServer.cpp
@@ -26,8 +26,9 @@
 
 struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl>
 {
-    explicit Impl(Executor serverExecutor)
+    Impl(Executor serverExecutor, PeerMessageGate *messageGate)
         : executor(std::move(serverExecutor))
+        , gate(messageGate)
         , acceptor(asio::make_strand(executor))
     { }
 
@@ -41,6 +42,7 @@
     std::set<std::shared_ptr<Http2Session>> copySessions();
 
     Executor executor;
+    PeerMessageGate *gate; ///< may be null
     tcp::acceptor acceptor;
     std::map<std::string, PeerHandler> routes;
     std::atomic<int> inProgress = 0;
@@ -109,6 +111,10 @@
 void PeerServer::Impl::dispatch(const std::shared_ptr<Http2Session> &session, std::int32_t stream,
                                 PeerRequest request)
 {
+    if (gate && !gate->admit(request.body.size())) {
+        session->refuse(stream);
+        return;
+    }
     ++inProgress;
     spawn(asio::make_strand(executor), handleRequest(session, stream, std::move(request)));
 }
@@ -117,11 +123,14 @@
                                            std::int32_t stream, PeerRequest request)
 {
     const auto self = shared_from_this();
+    const std::size_t bytes = request.body.size();
     const auto found = routes.find(request.path);
     PeerReply reply{404, ""};
     if (found != routes.end())
         reply = co_await found->second(std::move(request));
     session->respond(stream, std::move(reply));
+    if (gate)
+        gate->release(bytes);
     --inProgress;
 }
 
@@ -131,8 +140,8 @@
     return sessions;
 }
 
-PeerServer::PeerServer(Executor executor)
-    : m_impl(std::make_shared<Impl>(std::move(executor)))
+PeerServer::PeerServer(Executor executor, PeerMessageGate *gate)
+    : m_impl(std::make_shared<Impl>(std::move(executor), gate))
 { }
 
 PeerServer::~PeerServer()
--- a/src/peer/PeerServer.h
+++ b/src/peer/PeerServer.h
@@ -4,6 +4,7 @@
 #include "common/Outcome.h"
 #include "common/Task.h"
 #include "peer/PeerMessage.h"
+#include "peer/PeerMessageGate.h"
 
 #include <functional>
 #include <map>
@@ -21,7 +22,8 @@
 class PeerServer
 {
 public:
-    explicit PeerServer(Executor executor);
+    /// \brief \a gate may be null: every message is handled.
+    explicit PeerServer(Executor executor, PeerMessageGate *gate = nullptr);
     ~PeerServer();
 
     /// \brief Registers \a handler for \a path; before listen() only.
--- a/src/peer/internal/Http2Session.cpp
+++ b/src/peer/internal/Http2Session.cpp
@@ -182,6 +182,16 @@
     return provider;
 }
 
+void Http2Session::refuse(std::int32_t id)
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), id] {
+        if (!self->find(id) || !self->m_isOpen)
+            return;
+        nghttp2_submit_rst_stream(self->m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+        self->flush();
+    });
+}
+
 void Http2Session::respond(std::int32_t id, PeerReply reply)
 {
     asio::post(m_socket.get_executor(),
--- a/src/peer/internal/Http2Session.h
+++ b/src/peer/internal/Http2Session.h
@@ -44,6 +44,8 @@
     void call(PeerRequest request, ReplyHandler onReply);
     /// \brief Server: sends the reply on \a stream; ignored if the stream has closed.
     void respond(std::int32_t stream, PeerReply reply);
+    /// \brief Server: refuses the request on \a stream; proves to the client that it was not run.
+    void refuse(std::int32_t stream);
     /// \brief Sends GOAWAY, after which no new stream is accepted; open streams continue.
     void shutDown();
     void close();
