Free the bytes of a request once no attempt needs them

What operators would see: with 160 MB allowed, 3,000 callers that mix all kinds of load and come back when refused took the gateway to 254 MB within 60 s (a trial beside other load), though its account stayed below its limit of 68 MB.

Cause: two copies outlived the request that they were counted for. A connection to a backend server kept the bytes of the last request that it had sent until the next one, as long as it was idle or waited. And an attempt that goes on after its caller was answered, as when the request was ended for lack of memory, kept the request of its caller until its deadline.

Change: ClientConnection frees a request above 4 KB when it has been written; an attempt that is detached keeps the id of its request only.

--- a/src/gateway/backends/ServicePool.cpp
+++ b/src/gateway/backends/ServicePool.cpp
@@ -355,7 +355,9 @@
 void ServicePool::detach(const std::shared_ptr<BackendAttempt> &attempt)
 {
     attempt->handler = nullptr;
-    if (!attempt->isEnded && !attempt->server)
+    if (attempt->server)
+        attempt->request = attempt->request->withoutMessage(); // the account has released it
+    else if (!attempt->isEnded)
         release(attempt);
 }
 
--- a/src/gateway/forwarding/ForwardRequest.cpp
+++ b/src/gateway/forwarding/ForwardRequest.cpp
@@ -70,6 +70,12 @@
         appendField(m_head, "Content-Length", std::to_string(m_body.size()));
 }
 
+std::shared_ptr<const ForwardRequest> ForwardRequest::withoutMessage() const
+{
+    return std::shared_ptr<const ForwardRequest>(
+        new ForwardRequest(m_names, m_id, m_isHeadRequest));
+}
+
 std::string ForwardRequest::serialize(Milliseconds timeLeft, std::string_view backendId) const
 {
     std::string text;
--- a/src/gateway/forwarding/ForwardRequest.h
+++ b/src/gateway/forwarding/ForwardRequest.h
@@ -4,6 +4,7 @@
 #include "gateway/forwarding/HeaderNames.h"
 #include "http/WireRequest.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,10 +26,20 @@
     /// \brief Returns the HTTP message of one attempt at \a backendId, with the time left.
     std::string serialize(Milliseconds timeLeft, std::string_view backendId) const;
 
+    /// \brief This request without what is sent, for an attempt that has been sent and continues
+    /// after its caller was answered.
+    std::shared_ptr<const ForwardRequest> withoutMessage() const;
+
     const std::string &id() const { return m_id; }
     bool isHeadRequest() const { return m_isHeadRequest; }
 
 private:
+    ForwardRequest(const HeaderNames &names, std::string id, bool isHeadRequest)
+        : m_names(names)
+        , m_id(std::move(id))
+        , m_isHeadRequest(isHeadRequest)
+    { }
+
     const HeaderNames &m_names;
     std::string m_id;
     std::string m_head;
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -189,6 +189,17 @@
     const std::size_t written = sent < 0 ? 0 : static_cast<std::size_t>(sent);
     if (written < m_request.size())
         writeRest(written);
+    else
+        releaseRequest();
+}
+
+/// \brief Frees the buffer of a request that has been written, which the connection would keep
+/// until its next request.
+void ClientConnection::releaseRequest()
+{
+    constexpr std::size_t keptBytes = 4096;
+    if (m_request.capacity() > keptBytes)
+        std::string().swap(m_request);
 }
 
 void ClientConnection::writeRest(std::size_t written)
@@ -200,6 +211,8 @@
             self->m_isWriting = false;
             if (failure)
                 self->fail({ErrorCode::Unknown, "connection_lost", failure.message()});
+            else
+                self->releaseRequest();
         });
 }
 
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -92,6 +92,7 @@
     void closeSocket();
     void recordKeepAlive(const WireResponse &response);
     void writeRest(std::size_t written);
+    void releaseRequest();
 
     boost::asio::ip::tcp::socket m_socket;
     TimerQueue &m_timers;
