Add review case 12: after the store's return several gateways hold the whole tolerance of a quota

What callers see: the store returns from a copy some seconds old that lacks the gateways' own registrations, and for up to 2 s a tenant gets 150 to 170 requests run within 5 s, where its quota with its tolerance allows 145.4. MemberObserver::onListing() publishes the short listing as the fleet, and StandingRights divides by its size.

--- a/review/Rig3.h
+++ b/review/Rig3.h
@@ -384,6 +384,8 @@
     using View = std::function<void(const std::string &reader, const std::string &kind,
                                     const std::string &name, json::value &spec)>;
 
+    static constexpr std::chrono::milliseconds s_answerTime{4}; ///< as on the sheets
+
     explicit Store(View view = nullptr)
         : m_view(std::move(view))
     { }
@@ -498,6 +500,7 @@
         while (auto request = readMessage(handle, rest, forever)) {
             int status = 200;
             std::string body;
+            std::this_thread::sleep_for(s_answerTime);
             answer(reader, *request, handle, status, body);
             if (status == 0)
                 return;
