--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -98,7 +98,7 @@
     }
     if (!waitUntilReady(gateways, 15)) {
         record.line("the gateways did not become ready");
-        return CouldNotRun;
+        finish(CouldNotRun, gateways, folder);
     }
     // Time for the leases, and for one window from the start.
     sleepUntil(seconds() + 9);
@@ -111,7 +111,7 @@
     }
     if (holder.empty()) {
         record.line("no lease quota-0 in the store");
-        return CouldNotRun;
+        finish(CouldNotRun, gateways, folder);
     }
     std::string other = holder == names[0] ? names[1] : names[0];
     for (const auto &[name, lease] : store.list("leases")) {
@@ -183,7 +183,7 @@
         std::string how;
         if (gateway->hasEnded(how)) {
             record.line(gateway->machine().name + " has ended: " + how);
-            return CouldNotRun;
+            finish(CouldNotRun, gateways, folder);
         }
     }
     for (const auto &[key, count] : answers)
@@ -228,5 +228,5 @@
                 + std::to_string(byMachine[other]) + "; allowed: " + text(allowed));
     const bool isBroken = static_cast<double>(most) > allowed;
     record.line(isBroken ? "QUOTA is broken" : "QUOTA holds");
-    return isBroken ? Broken : Held;
+    finish(isBroken ? Broken : Held, gateways, folder);
 }
--- a/review/Rig3.h
+++ b/review/Rig3.h
@@ -745,7 +745,8 @@
         char name[] = "/tmp/gwt-review-XXXXXX";
         m_path = ::mkdtemp(name);
     }
-    ~Folder()
+    ~Folder() { remove(); }
+    void remove()
     {
         for (const std::string &file : m_files)
             ::unlink(file.c_str());
@@ -900,6 +901,16 @@
 /// \brief Exit codes of the issue.
 enum Verdict { Held = 0, Broken = 1, CouldNotRun = 2 };
 
+/// \brief Ends the gateways and this process, whose threads may still serve connections.
+[[noreturn]] inline void finish(Verdict verdict, std::vector<std::unique_ptr<Gateway>> &gateways,
+                                Folder &folder)
+{
+    gateways.clear();
+    folder.remove();
+    std::fflush(stdout);
+    std::_Exit(verdict);
+}
+
 /// \brief The folder of the case: the first argument.
 inline std::string recordPath(int argc, char **argv)
 {
