--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -12,7 +12,7 @@
 constexpr double window = 5; ///< quotaWindowS
 constexpr double overage = 0.1; ///< quotaOverage
 constexpr double slack = 20; ///< quotaSlack
-constexpr double cutLength = 8; ///< as in the site's day with how = "reset revoke"
+constexpr double cutLength = 5.5; ///< the longest of the site for core_cut; node_cut has up to 12
 constexpr double sentPerSecond = 40; ///< at each of two machines
 const std::vector<std::string> tenants{"peko77", "ralo620"}; ///< the first is in range 0
 
--- a/review/Rig3.h
+++ b/review/Rig3.h
@@ -24,6 +24,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -640,10 +641,14 @@
 
 // ---- searchers ---------------------------------------------------------------------------------
 
-/// \brief A searcher: answers each request after \a workMs, and notes what it has run.
+/// \brief A searcher: answers each request after \a workMs, and notes what it has run. It runs a few
+/// at the same time, queues a few more, and rejects the others.
 class Searcher
 {
 public:
+    static constexpr int s_slots = 6;
+    static constexpr int s_queue = 24;
+
     struct Run
     {
         double at = 0;
@@ -667,7 +672,7 @@
                             {"address", "127.0.0.1:" + std::to_string(m_listener.port())},
                             {"zone", "zone-a"},
                             {"version", "v1"},
-                            {"slots", 6},
+                            {"slots", s_slots},
                             {"state", state},
                             {"warmupLeftMs", 0},
                             {"seq", 1}};
@@ -684,6 +689,24 @@
     }
 
 private:
+    bool takeSlot(const std::string &id, const std::string &tenant)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_present >= s_slots + s_queue)
+            return false;
+        ++m_present;
+        m_slotFreed.wait(lock, [this] { return m_running < s_slots; });
+        ++m_running;
+        m_runs.push_back({seconds(), id, tenant});
+        return true;
+    }
+    void freeSlot()
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_running;
+        --m_present;
+        m_slotFreed.notify_one();
+    }
     void serve(int handle)
     {
         std::string rest;
@@ -709,12 +732,11 @@
                 head += "421 Misdirected Request\r\nX-Not-Executed: 1\r\nX-Instance-Id: " + m_id + "\r\n";
             } else if (id.empty()) {
                 head += "400 Bad Request\r\nX-Not-Executed: 1\r\n";
+            } else if (!takeSlot(id, request->field("x-tenant"))) {
+                head += "503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
             } else {
-                {
-                    const std::lock_guard lock(m_mutex);
-                    m_runs.push_back({seconds(), id, request->field("x-tenant")});
-                }
                 std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(m_workMs));
+                freeSlot();
                 head += "200 OK\r\nX-Server-Stamp: " + m_id + "." + id + "\r\n";
                 body = m_body;
             }
@@ -729,6 +751,9 @@
     const double m_workMs;
     const std::string m_body;
     std::mutex m_mutex;
+    std::condition_variable m_slotFreed;
+    int m_present = 0; ///< running or queued
+    int m_running = 0;
     Special m_special;
     std::vector<Run> m_runs;
     Listener m_listener;
@@ -742,8 +767,8 @@
 public:
     Folder()
     {
-        char name[] = "/tmp/gwt-review-XXXXXX";
-        m_path = ::mkdtemp(name);
+        std::string name = std::filesystem::temp_directory_path() / "gwt-review-XXXXXX";
+        m_path = ::mkdtemp(name.data());
     }
     ~Folder() { remove(); }
     void remove()
