Replace the refused connection as proof that a coordinator has ended by votes

Cause: QuotaService::probe() took a refused connection for the end of the holder's process, so that its successor did not wait until the holder's proof had aged. A cut refuses connections, too. Ruled out: a second write of the lease (its term rises by one), the standing rights (unchanged by the cut).

Change: the lease names up to five voters in all availability zones, and its holder grants only with recent votes of a majority. A candidate that cannot reach the holder asks these voters to withdraw. A voter agrees once its last vote has expired, and lets it expire if it cannot reach the holder either. With the withdrawals of a majority the successor grants at once, else it waits as before. Refusals, resets and silence prove nothing any more; a reply counts only if it names the host that was called.

Why it works: the holder's votes are counted from its calls, the voters' expiry from their replies, and a majority of withdrawals leaves fewer voters than the holder needs, whatever was cut.

--- a/src/gateway/quota/LeaseStore.h
+++ b/src/gateway/quota/LeaseStore.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace gwt {
 
@@ -18,6 +19,8 @@
     std::uint64_t term = 0; ///< rises by one with each change of the holder
     std::uint64_t revision = 0; ///< of the object, with the store's era; 0: there is none
     std::uint64_t era = 0; ///< of the store in which it was written
+    /// Hosts without whose votes the holder does not act; none: it acts by its proof alone.
+    std::vector<std::string> voters = {};
 
     bool operator==(const Lease &) const = default;
 };
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -1,8 +1,6 @@
 #include "gateway/quota/QuotaService.h"
 
-#include "common/Log.h"
 #include "common/Sleep.h"
-#include "peer/ConnectAttempt.h"
 #include "peer/PeerCodec.h"
 
 #include <algorithm>
@@ -17,14 +15,23 @@
 /// Between two calls to each candidate. They keep a session open, so that requests need not wait
 /// for a connect, and find out about a candidate that is lost.
 constexpr Milliseconds sessionCheckInterval{5000};
+/// Between two calls of a holder to each of its voters; a quarter of the lifetime of a vote.
+constexpr Milliseconds voteInterval{275};
 constexpr Milliseconds probeTimeout{300}; ///< above the time that a busy small host needs
 /// Above the age of a proof while the store answers: two watches of 2 s each. A process with an
 /// older one has lost the store, perhaps like all others, and takes no lease over.
 constexpr Milliseconds recentProofAge{4500};
 /// Age of its proof from which a holder lets a process that can prove the leases take over.
 constexpr Milliseconds losingProofAge{5000};
+/// Age up to which a failed probe tells that this host cannot reach another one.
+constexpr Milliseconds failedProbeLifetime{1000};
 const std::string probeId = "quota-probe";
 
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 } // namespace
 
 QuotaService::QuotaService(boost::asio::io_context &context, QuotaOptions options,
@@ -33,12 +40,15 @@
     , m_options(std::move(options))
     , m_store(store)
     , m_peers(peers)
-    , m_metrics(metrics)
+    , m_log(metrics)
     , m_tree(m_options.self.name)
+    , m_votes(m_options.leases)
+    , m_electorate(m_options.leases, m_options.self, m_votes)
+    , m_voter(m_options.leases, Clock::now())
 {
     const LeaseKeeper::Identity self{m_options.self.name, m_options.incarnation};
     for (std::size_t i = 0; i < quotaRangeCount; ++i)
-        m_ranges[i].keeper = std::make_unique<LeaseKeeper>(m_options.leases, self, i);
+        m_ranges[i].keeper = std::make_unique<LeaseKeeper>(m_options.leases, self, i, m_votes);
 }
 
 void QuotaService::onConfig(const RoutingConfig &config)
@@ -51,9 +61,12 @@
 void QuotaService::onMembers(const std::vector<FleetMember> &members)
 {
     m_tree.setMembers(members);
+    m_electorate.setMembers(members);
     m_addresses.clear();
     for (const FleetMember &member : members)
         m_addresses[member.name] = member.peer;
+    std::erase_if(m_failedProbes,
+                  [this](const auto &each) { return !m_addresses.contains(each.first); });
 }
 
 void QuotaService::start()
@@ -85,8 +98,7 @@
     std::vector<std::string> names;
     for (const FleetMember &member : m_tree.watchers(now))
         names.push_back(member.name);
-    const bool isCandidate
-        = std::find(names.begin(), names.end(), m_options.self.name) != names.end();
+    const bool isCandidate = contains(names, m_options.self.name);
     // A holder that others reach is not challenged, so it follows its lease until it is replaced.
     const bool isWatching = m_isActive && (isCandidate || isHolder()) && !m_isStopping;
     if (isWatching != std::exchange(m_isWatching, isWatching)) {
@@ -106,27 +118,89 @@
     }
     if (!isWatching)
         return;
-    const bool isProbeDue = now - m_probedAt >= probeInterval;
-    if (isProbeDue)
-        m_probedAt = now;
-    std::set<std::string> hosts;
+    // Without contact to the store a write would only fail, again and again.
+    const bool reachesStore = now - m_store.provenAt() <= recentProofAge;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         LeaseKeeper &keeper = *m_ranges[i].keeper;
         keeper.setCandidates(names);
-        if (isProbeDue && !keeper.hostToProbe().empty())
-            hosts.insert(keeper.hostToProbe());
-        // Without contact to the store a write would only fail, again and again.
-        const bool reachesStore = now - m_store.provenAt() <= recentProofAge;
+        keeper.setVoters(m_electorate.voters(now), m_electorate.isIsolated(now));
+        withdrawOwnVote(i, now);
         if (const auto lease = reachesStore ? keeper.beginWrite(now) : std::nullopt)
-            write(i, *lease);
+            takeOver(i, *lease);
+        else if (reachesStore)
+            updateVoters(i, now);
+        m_log.recordGrantState(i, keeper.grantState(m_store.provenAt(), now));
+    }
+    probeHosts(names, now);
+}
+
+void QuotaService::probeHosts(const std::vector<std::string> &candidates, TimePoint now)
+{
+    std::set<std::string> hosts;
+    if (now - m_probedAt >= probeInterval) {
+        m_probedAt = now;
+        hosts.insert(candidates.begin(), candidates.end());
+        for (const Range &range : m_ranges)
+            hosts.insert(range.keeper->hostToProbe());
     }
-    if (isProbeDue) {
-        for (const std::string &name : names)
-            hosts.insert(name);
-        hosts.erase(m_options.self.name);
-        for (const std::string &host : hosts)
-            checkHost(host);
+    const bool asksForVotes = askForVotes(now);
+    for (const Range &range : m_ranges) {
+        const LeaseKeeper &keeper = *range.keeper;
+        const bool asksVoters
+            = keeper.isHolder() ? asksForVotes : !keeper.challengedProcess().empty();
+        if (asksVoters)
+            hosts.insert(keeper.voters().begin(), keeper.voters().end());
     }
+    hosts.erase(m_options.self.name);
+    hosts.erase("");
+    for (const std::string &host : hosts)
+        checkHost(host);
+}
+
+bool QuotaService::askForVotes(TimePoint now)
+{
+    if (now - m_votesAskedAt < voteInterval)
+        return false;
+    m_votesAskedAt = now;
+    for (const std::string &host : m_electorate.prospects(now))
+        checkHost(host);
+    return true;
+}
+
+void QuotaService::withdrawOwnVote(std::size_t range, TimePoint now)
+{
+    LeaseKeeper &keeper = *m_ranges[range].keeper;
+    const std::string process = keeper.challengedProcess();
+    if (!process.empty() && contains(keeper.voters(), m_options.self.name)
+        && tryWithdraw(keeper.holder(), process, now))
+        keeper.onWithdrawal(m_options.self.name, process, now);
+}
+
+bool QuotaService::tryWithdraw(const std::string &host, const std::string &incarnation,
+                               TimePoint now)
+{
+    if (m_voter.withdraw(incarnation, now))
+        return true;
+    const auto failed = m_failedProbes.find(host);
+    if (failed != m_failedProbes.end() && now - failed->second <= failedProbeLifetime)
+        m_voter.suspend(incarnation, now);
+    else
+        checkHost(host);
+    return false;
+}
+
+void QuotaService::updateVoters(std::size_t range, TimePoint now)
+{
+    Range &held = m_ranges[range];
+    if (!held.keeper->grantsFrom())
+        return;
+    const auto voters
+        = m_electorate.replacement(held.keeper->voters(), now - held.votersChangedAt, now);
+    const auto lease = voters ? held.keeper->beginRenewal(*voters) : std::nullopt;
+    if (!lease)
+        return;
+    held.votersChangedAt = now;
+    renew(range, *lease);
 }
 
 bool QuotaService::hasReplacedHolder(std::size_t range, const std::string &host,
@@ -146,29 +220,64 @@
     }
     const Endpoint remote = address->second;
     const TimePoint sentAt = Clock::now();
-    wire::QuotaRequest request;
-    request.set_takes_over(m_isWatching && sentAt - m_store.provenAt() <= recentProofAge);
+    const wire::QuotaRequest request = buildProbe(host, sentAt);
     const CancelToken cancel;
-    const auto reply = co_await callPeer<wire::QuotaReply>(m_peers, remote, s_path, request,
-                                                           probeId, sentAt + probeTimeout, cancel);
-    ProbeResult result = ProbeResult::Reached;
-    if (!isOk(reply)) {
-        const bool hasEnded = co_await refusesConnections(remote, probeTimeout);
-        result = hasEnded ? ProbeResult::Ended : ProbeResult::NoReply;
-        m_tree.recordFailure(host, Duration::zero(), Clock::now());
-    } else {
-        m_tree.recordSuccess(host);
-    }
+    const auto outcome = co_await callPeer<wire::QuotaReply>(
+        m_peers, remote, s_path, request, probeId, sentAt + probeTimeout, cancel);
     m_probedHosts.erase(host);
+    // The address may have passed to another host.
+    const bool isOther
+        = isOk(outcome) && !valueOf(outcome).host().empty() && valueOf(outcome).host() != host;
+    onProbeReply(host, isOk(outcome) && !isOther ? &valueOf(outcome) : nullptr, sentAt);
+}
+
+wire::QuotaRequest QuotaService::buildProbe(const std::string &host, TimePoint now) const
+{
+    wire::QuotaRequest request;
+    request.set_caller_incarnation(m_options.incarnation);
+    if (!m_isWatching)
+        return request;
+    request.set_takes_over(now - m_store.provenAt() <= recentProofAge);
+    for (const Range &range : m_ranges) {
+        const std::string process = range.keeper->challengedProcess();
+        if (process.empty() || !contains(range.keeper->voters(), host))
+            continue;
+        wire::SilentHolder &holder = *request.add_withdraw_from();
+        holder.set_host(range.keeper->holder());
+        holder.set_incarnation(process);
+    }
+    return request;
+}
+
+void QuotaService::onProbeReply(const std::string &host, const wire::QuotaReply *reply,
+                                TimePoint sentAt)
+{
     const TimePoint now = Clock::now();
-    const bool hasYielded = isOk(reply) && valueOf(reply).outcome() == wire::QuotaReply::YIELDED;
+    if (reply) {
+        m_tree.recordSuccess(host);
+        m_failedProbes.erase(host);
+    } else {
+        m_tree.recordFailure(host, Duration::zero(), now);
+        m_failedProbes[host] = now;
+    }
+    if (reply && reply->votes())
+        m_votes.record(host, sentAt);
+    else
+        m_electorate.recordFailure(host, sentAt);
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
         LeaseKeeper &keeper = *m_ranges[i].keeper;
+        if (!reply) {
+            keeper.onProbe(host, ProbeResult::NoReply, sentAt, now);
+            continue;
+        }
+        for (const std::string &process : reply->withdrawn_from())
+            keeper.onWithdrawal(host, process, sentAt);
         const bool isReplaced
-            = isOk(reply) && hasReplacedHolder(i, host, valueOf(reply).incarnation());
-        const bool hasGivenUp = hasYielded && keeper.holder() == host;
-        const ProbeResult rangeResult = isReplaced || hasGivenUp ? ProbeResult::Ended : result;
-        keeper.onProbe(host, rangeResult, sentAt, now);
+            = !reply->host().empty() && hasReplacedHolder(i, host, reply->incarnation());
+        const bool hasYielded
+            = reply->outcome() == wire::QuotaReply::YIELDED && keeper.holder() == host;
+        keeper.onProbe(host, isReplaced || hasYielded ? ProbeResult::Ended : ProbeResult::Reached,
+                       sentAt, now);
     }
 }
 
@@ -190,19 +299,20 @@
                                     now);
         if (!m_ranges[i].keeper->grantsFrom() && !m_ranges[i].keeper->mayRetake())
             m_ranges[i].ledger.reset();
-        logHolder(i);
+        m_log.recordHolder(i, *m_ranges[i].keeper);
     }
 }
 
-void QuotaService::write(std::size_t range, const Lease &lease)
+void QuotaService::takeOver(std::size_t range, const Lease &lease)
 {
+    m_ranges[range].votersChangedAt = Clock::now();
     m_store.write(quotaLeaseName(range), lease, [this, range](const Outcome<Lease> &outcome) {
         LeaseKeeper &keeper = *m_ranges[range].keeper;
         const bool isRetaken = keeper.mayRetake() && m_ranges[range].ledger;
-        keeper.onWritten(isOk(outcome) ? std::optional(valueOf(outcome)) : std::nullopt,
-                         Clock::now());
+        const TimePoint now = Clock::now();
+        keeper.onWritten(isOk(outcome) ? std::optional(valueOf(outcome)) : std::nullopt, now);
         if (!isOk(outcome)) {
-            logInfo("quota_lease_missed", {{"range", range}, {"reason", errorOf(outcome).reason}});
+            m_log.recordMissed(range, errorOf(outcome).reason);
             return;
         }
         if (m_isStopping) {
@@ -215,24 +325,24 @@
             m_ranges[range].ledger.reset();
         else if (!isRetaken)
             m_ranges[range].ledger.emplace(m_options.rules, *from);
-        logHolder(range);
+        m_log.recordHolder(range, keeper);
+        if (from)
+            m_log.recordTakeover(range, keeper, now);
     });
 }
 
-void QuotaService::logHolder(std::size_t range)
+void QuotaService::renew(std::size_t range, const Lease &lease)
 {
-    const LeaseKeeper &keeper = *m_ranges[range].keeper;
-    if (std::exchange(m_ranges[range].knownHolder, keeper.holder()) == keeper.holder())
-        return;
-    m_metrics
-        .counter("gwt_gateway_quota_holder_changes_total",
-                 "Changes of the coordinator of a range of teams that this process has seen")
-        .Increment();
-    logInfo("quota_holder",
-            {{"range", range},
-             {"holder", keeper.holder()},
-             {"term", keeper.term()},
-             {"is_self", keeper.grantsFrom() ? "yes" : "no"}});
+    m_store.write(quotaLeaseName(range), lease, [this, range](const Outcome<Lease> &outcome) {
+        LeaseKeeper &keeper = *m_ranges[range].keeper;
+        keeper.onWritten(isOk(outcome) ? std::optional(valueOf(outcome)) : std::nullopt,
+                         Clock::now());
+        if (isOk(outcome))
+            m_leases[quotaLeaseName(range)] = valueOf(outcome);
+        if (m_isStopping)
+            release(range);
+        m_log.recordRenewal(range, keeper, isOk(outcome) ? "written" : errorOf(outcome).reason);
+    });
 }
 
 void QuotaService::stop()
@@ -282,10 +392,17 @@
 wire::QuotaReply QuotaService::handle(const wire::QuotaRequest &request)
 {
     wire::QuotaReply reply;
+    reply.set_host(m_options.self.name);
     reply.set_incarnation(m_options.incarnation);
     reply.set_outcome(wire::QuotaReply::UNKNOWN);
     const TimePoint now = Clock::now();
     if (request.team().empty()) {
+        if (!request.caller_incarnation().empty())
+            reply.set_votes(m_voter.vote(request.caller_incarnation(), now));
+        for (const wire::SilentHolder &holder : request.withdraw_from()) {
+            if (tryWithdraw(holder.host(), holder.incarnation(), now))
+                reply.add_withdrawn_from(holder.incarnation());
+        }
         const bool isLosing = isLosingProof(now);
         if (isLosing && request.takes_over()) {
             for (Range &range : m_ranges) {
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -2,7 +2,10 @@
 
 #include "common/Metrics.h"
 #include "common/Task.h"
+#include "gateway/quota/LeaseElectorate.h"
 #include "gateway/quota/LeaseKeeper.h"
+#include "gateway/quota/LeaseLog.h"
+#include "gateway/quota/LeaseVoter.h"
 #include "gateway/quota/QuotaLedger.h"
 #include "gateway/quota/QuotaRanges.h"
 #include "gateway/sharing/DisseminationTree.h"
@@ -62,18 +65,32 @@
         std::unique_ptr<LeaseKeeper> keeper;
         /// Set while this process holds the lease, or may take it back.
         std::optional<QuotaLedger> ledger;
-        std::string knownHolder; ///< for the log
+        TimePoint votersChangedAt; ///< when this process last named voters
     };
 
     void runWhileActive();
     Task<void> run();
     Task<void> probe(std::string host);
+    wire::QuotaRequest buildProbe(const std::string &host, TimePoint now) const;
+    /// \brief Applies the reply of \a host to a probe that was sent at \a sentAt; null: none.
+    void onProbeReply(const std::string &host, const wire::QuotaReply *reply, TimePoint sentAt);
     void tick(TimePoint now);
+    /// \brief Probes the hosts that are due: candidates, holders, and voters.
+    void probeHosts(const std::vector<std::string> &candidates, TimePoint now);
+    /// \brief Withdraws the vote of this process from \a incarnation on \a host, which a candidate
+    /// cannot reach; if it is still valid and this process cannot reach \a host either, lets it
+    /// expire.
+    bool tryWithdraw(const std::string &host, const std::string &incarnation, TimePoint now);
+    /// \brief Asks hosts for votes if they are due; returns whether they were.
+    bool askForVotes(TimePoint now);
+    /// \brief Withdraws the vote of this process from the holder of \a range, if it is challenged.
+    void withdrawOwnVote(std::size_t range, TimePoint now);
+    void updateVoters(std::size_t range, TimePoint now);
     void onNewEra();
     void onLeases(const LeaseTable &leases, std::uint64_t revision);
-    void write(std::size_t range, const Lease &lease);
+    void takeOver(std::size_t range, const Lease &lease);
+    void renew(std::size_t range, const Lease &lease);
     void release(std::size_t range);
-    void logHolder(std::size_t range);
     /// \brief True if this process holds a lease.
     bool isHolder() const;
     /// \brief True if this process holds a lease that it will soon be unable to prove.
@@ -86,9 +103,12 @@
     const QuotaOptions m_options;
     LeaseStore &m_store;
     PeerClient &m_peers;
-    Metrics &m_metrics;
+    LeaseLog m_log;
     DisseminationTree m_tree; ///< orders the candidates
     std::map<std::string, Endpoint> m_addresses; ///< of the members, by name
+    LeaseVotes m_votes; ///< for this process
+    LeaseElectorate m_electorate;
+    LeaseVoter m_voter; ///< votes of this process
     std::array<Range, quotaRangeCount> m_ranges;
     LeaseTable m_leases;
     bool m_isActive = false; ///< the configuration has a team with a quota
@@ -96,8 +116,10 @@
     bool m_isStarted = false;
     bool m_isRunning = false; ///< run() is in progress
     bool m_isStopping = false;
+    std::map<std::string, TimePoint> m_failedProbes; ///< time of the last probe, if it failed
     std::set<std::string> m_probedHosts; ///< with a probe in progress
     TimePoint m_probedAt;
+    TimePoint m_votesAskedAt;
     TimePoint m_nextSessionCheck;
 };
 
--- a/test/LeaseKeeperTest.cpp
+++ b/test/LeaseKeeperTest.cpp
@@ -22,7 +22,8 @@
     }
 
     const LeaseRules m_rules;
-    LeaseKeeper m_keeper{m_rules, {"a", "a-1"}, 0};
+    LeaseVotes m_votes{m_rules};
+    LeaseKeeper m_keeper{m_rules, {"a", "a-1"}, 0, m_votes};
 };
 
 // Two processes would grant if a process took its lease to be in force after it had learned of a
@@ -89,12 +90,12 @@
 // the host that has just given it up.
 TEST_F(LeaseKeeperTest, aReleasedLeaseIsTakenAtOnceByTheNextCandidate)
 {
-    LeaseKeeper next(m_rules, {"b", "b-1"}, 0);
+    LeaseKeeper next(m_rules, {"b", "b-1"}, 0, m_votes);
     next.setCandidates({"a", "b", "c"});
     next.onLease(Lease{"a", "a-1", 1, 2}, 2, start);
     next.onLease(Lease{"", "", 2, 3}, 3, start + 1s);
     EXPECT_TRUE(next.beginWrite(start + 1s));
-    LeaseKeeper last(m_rules, {"c", "c-1"}, 0);
+    LeaseKeeper last(m_rules, {"c", "c-1"}, 0, m_votes);
     last.setCandidates({"a", "b", "c"});
     last.onLease(Lease{"a", "a-1", 1, 2}, 2, start);
     last.onLease(Lease{"", "", 2, 3}, 3, start + 1s);
@@ -121,7 +122,7 @@
 // from each other again and again: each change costs the wait, so that none of them would grant.
 TEST_F(LeaseKeeperTest, aHolderThatWasReplacedDoesNotChallengeItsSuccessorForSilence)
 {
-    LeaseKeeper other(m_rules, {"b", "b-1"}, 0);
+    LeaseKeeper other(m_rules, {"b", "b-1"}, 0, m_votes);
     other.setCandidates({"a", "b", "c"});
     std::optional<Lease> stored;
     std::uint64_t revision = 1;
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -1,11 +1,14 @@
 #include "common/StoreRevision.h"
+#include "gateway/quota/LeaseElectorate.h"
 #include "gateway/quota/LeaseKeeper.h"
+#include "gateway/quota/LeaseVoter.h"
 #include "gateway/quota/QuotaLedger.h"
 #include "gateway/quota/QuotaRanges.h"
 #include "gateway/quota/StandingRights.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <random>
@@ -72,22 +75,30 @@
 /// A host of a fleet in virtual time. All teams are in one range.
 struct SimulatedHost
 {
-    SimulatedHost(std::string hostName, int processNumber, TimePoint startedAt)
-        : name(std::move(hostName))
+    SimulatedHost(const FleetMember &member, int processNumber, TimePoint startedAt)
+        : name(member.name)
         , incarnation(name + "-" + std::to_string(processNumber))
-        , keeper(LeaseRules{}, {name, incarnation}, 0)
+        , electorate(LeaseRules{}, member, votes)
+        , voter(LeaseRules{}, startedAt)
+        , keeper(LeaseRules{}, {name, incarnation}, 0, votes)
         , rights(rules, name, startedAt)
     { }
 
     std::string name;
     std::string incarnation;
+    LeaseVotes votes{LeaseRules{}};
+    LeaseElectorate electorate;
+    LeaseVoter voter;
     LeaseKeeper keeper;
     std::optional<QuotaLedger> ledger;
     StandingRights rights;
     TimePoint provenAt;
     std::uint64_t era = 0; ///< of the store, as known
     TimePoint probedAt;
-    bool isReachable = true; ///< by other hosts
+    TimePoint votersAskedAt;
+    TimePoint votersChangedAt;
+    int network = 0; ///< hosts reach only those with the same number
+    bool isDeaf = false; ///< reaches other hosts, which do not reach it
     bool reachesStore = true;
     TimePoint pausedUntil;
     TimePoint downUntil;
@@ -106,6 +117,11 @@
     bool restoresStore = false; ///< from copies that are up to 20 s old
     double hotFactor = 7.5;
     double minServed = 0; ///< share of the requests of the other teams that is granted
+    bool cutsZones = false; ///< a host's whole zone rather than the host; also from the store
+    bool cutsPairs = false; ///< with a host, the next one; the two reach each other
+    bool cutsInbound = false; ///< calls to a host, but not those of the host
+    /// Longest time in which no candidate grants; nullopt: not checked.
+    std::optional<Duration> longestOutage = std::nullopt;
 };
 
 class QuotaFleetTest : public testing::TestWithParam<FleetCase>
@@ -119,8 +135,8 @@
     QuotaFleetTest()
     {
         for (int i = 0; i < s_hosts; ++i) {
-            m_members.push_back({"host-" + std::to_string(i), {}, "z"});
-            m_hosts.push_back(std::make_unique<SimulatedHost>(m_members.back().name, 0, start));
+            m_members.push_back({"host-" + std::to_string(i), {}, "z" + std::to_string(i % 3)});
+            m_hosts.push_back(std::make_unique<SimulatedHost>(m_members.back(), 0, start));
         }
         for (const auto &host : m_hosts)
             prepare(*host);
@@ -133,6 +149,7 @@
     void prepare(SimulatedHost &host)
     {
         host.rights.setMembers(m_members);
+        host.electorate.setMembers(m_members);
         std::vector<std::string> candidates;
         for (std::size_t i = 0; i < s_candidates; ++i)
             candidates.push_back(m_members[i].name);
@@ -141,7 +158,8 @@
 
     bool canCall(const SimulatedHost &from, const SimulatedHost &to) const
     {
-        return &from == &to || (from.isReachable && to.isReachable && to.runs(m_now));
+        const bool isLinked = from.network == to.network && !to.isDeaf;
+        return &from == &to || (isLinked && to.runs(m_now));
     }
 
     SimulatedHost &hostOf(const std::string &name)
@@ -171,9 +189,14 @@
             for (std::size_t i = 0; i < s_candidates; ++i)
                 probe(host, *m_hosts[i]);
         }
+        askVoters(host);
+        host.keeper.setVoters(host.electorate.voters(m_now), host.electorate.isIsolated(m_now));
         const auto update = host.keeper.beginWrite(m_now);
-        if (!update)
+        if (!update) {
+            renewVoters(host);
             return;
+        }
+        host.votersChangedAt = m_now;
         const bool isRetaken = host.keeper.mayRetake() && host.ledger;
         host.keeper.onWritten(host.reachesStore ? m_lease.write(*update, m_now) : std::nullopt,
                               m_now);
@@ -189,12 +212,52 @@
         const auto lease = m_lease.lease();
         const bool isReplaced
             = lease && lease->holder == to.name && lease->incarnation != to.incarnation;
-        const bool isRefused = from.isReachable && to.isReachable && m_now < to.downUntil;
-        if ((result == ProbeResult::Reached && isReplaced) || isRefused)
+        if (result == ProbeResult::Reached && isReplaced)
             result = ProbeResult::Ended;
         from.keeper.onProbe(to.name, result, m_now, m_now);
     }
 
+    /// Asks for votes, or for withdrawals from a holder that does not answer.
+    void askVoters(SimulatedHost &host)
+    {
+        const std::string challenged = host.keeper.challengedProcess();
+        const Duration interval = challenged.empty() ? 280ms : 100ms;
+        if (m_now - host.votersAskedAt < interval)
+            return;
+        host.votersAskedAt = m_now;
+        std::vector<std::string> voters = host.keeper.voters();
+        for (const std::string &prospect : host.electorate.prospects(m_now))
+            voters.push_back(prospect);
+        for (const std::string &name : voters) {
+            SimulatedHost &voter = hostOf(name);
+            if (&voter != &host && canCall(host, voter)
+                && voter.voter.vote(host.incarnation, m_now))
+                host.votes.record(name, m_now);
+            else if (&voter != &host)
+                host.electorate.recordFailure(name, m_now);
+            if (challenged.empty() || !canCall(host, voter))
+                continue;
+            if (voter.voter.withdraw(challenged, m_now))
+                host.keeper.onWithdrawal(name, challenged, m_now);
+            else if (!canCall(voter, hostOf(host.keeper.holder())))
+                voter.voter.suspend(challenged, m_now);
+        }
+    }
+
+    void renewVoters(SimulatedHost &host)
+    {
+        if (!host.keeper.grantsFrom())
+            return;
+        const auto voters = host.electorate.replacement(host.keeper.voters(),
+                                                        m_now - host.votersChangedAt, m_now);
+        const auto lease = voters ? host.keeper.beginRenewal(*voters) : std::nullopt;
+        if (!lease)
+            return;
+        host.votersChangedAt = m_now;
+        host.keeper.onWritten(host.reachesStore ? m_lease.write(*lease, m_now) : std::nullopt,
+                              m_now);
+    }
+
     /// Sends a request of a team to a host; true if it runs.
     bool request(std::size_t team, SimulatedHost &host)
     {
@@ -220,6 +283,14 @@
         return false;
     }
 
+    bool hasCoordinator() const
+    {
+        return std::any_of(m_hosts.begin(), m_hosts.begin() + s_candidates, [&](const auto &host) {
+            return host->runs(m_now) && !host->isDeaf
+                && host->keeper.mayGrant(host->provenAt, m_now);
+        });
+    }
+
     void recordRun(std::size_t team)
     {
         std::deque<TimePoint> &ran = m_ran[team];
@@ -238,23 +309,34 @@
         // Coordinators and their candidates are hit more often than the other hosts.
         std::uniform_int_distribution<std::size_t> any(0, 2 * s_candidates);
         std::uniform_int_distribution<int> time(500, 12'000);
-        for (std::size_t i = 0; i < s_candidates; ++i) {
-            SimulatedHost &host = *m_hosts[i];
-            host.isReachable = true;
-            host.reachesStore = true;
+        for (const auto &host : m_hosts) {
+            host->network = 0;
+            host->isDeaf = false;
+            host->reachesStore = true;
         }
         const std::size_t hit = any(m_random);
-        if (hit >= s_candidates)
+        // Voters need a moment to be spread over the zones again.
+        const bool isPause = ++m_disturbances % 2 == 0 && (fleet.cutsZones || fleet.cutsPairs);
+        if (hit >= s_candidates || isPause)
             return;
         SimulatedHost &host = *m_hosts[hit];
         if (fleet.cutsHosts)
-            host.isReachable = false;
+            host.network = 1;
+        host.isDeaf = fleet.cutsInbound;
         if (fleet.cutsStore)
             host.reachesStore = false;
+        for (std::size_t i = hit; fleet.cutsZones && i < m_hosts.size(); i += 3) {
+            m_hosts[i]->network = 1;
+            m_hosts[i]->reachesStore = false;
+        }
+        for (std::size_t i = hit; fleet.cutsPairs && i < hit + 2; ++i) {
+            m_hosts[i]->network = 1;
+            m_hosts[i]->reachesStore = false;
+        }
         if (fleet.pauses)
             host.pausedUntil = m_now + Milliseconds(time(m_random));
         if (fleet.kills) {
-            m_hosts[hit] = std::make_unique<SimulatedHost>(host.name, ++m_processes, m_now);
+            m_hosts[hit] = std::make_unique<SimulatedHost>(m_members[hit], ++m_processes, m_now);
             prepare(*m_hosts[hit]);
             m_hosts[hit]->downUntil = m_now + Milliseconds(time(m_random));
         }
@@ -268,6 +350,7 @@
     SharedLease m_lease;
     std::mt19937 m_random{7};
     int m_processes = 0;
+    int m_disturbances = 0;
 };
 
 // A team must not get more than its quota by spreading its requests over many hosts, however hosts
@@ -280,11 +363,16 @@
     const double hotPerStep = 15 * GetParam().hotFactor * 0.01;
     int offered = 0;
     int granted = 0;
+    TimePoint coordinatedAt = start;
+    Duration longestOutage{0};
     for (int step = 0; step < 12'000; ++step, m_now += s_step) {
         if (step % 700 == 699)
             disturb();
         for (std::size_t i = 0; i < s_candidates; ++i)
             runCandidate(*m_hosts[i]);
+        if (hasCoordinator())
+            coordinatedAt = m_now;
+        longestOutage = std::max(longestOutage, m_now - coordinatedAt);
         for (double due = hotPerStep; due > 0 && chance(m_random) < due; due -= 1)
             request(0, *m_hosts[anyHost(m_random)]);
         if (step < 600 || chance(m_random) > 0.2)
@@ -293,18 +381,38 @@
         granted += request(anyTeam(m_random), *m_hosts[anyHost(m_random)]) ? 1 : 0;
     }
     EXPECT_GE(granted, GetParam().minServed * offered);
+    EXPECT_LE(longestOutage, GetParam().longestOutage.value_or(Duration::max()))
+        << longestOutage / 1ms << " ms";
 }
 
+/// The lifetime of a vote, the calls that find it expired, and the write; well below the proof
+/// limit.
+constexpr Duration longestTakeover = 2s;
+
+/// Votes also have to be suspended first.
+constexpr Duration longestSuspension = 3s;
+
 INSTANTIATE_TEST_SUITE_P(
     Disturbances, QuotaFleetTest,
     testing::Values(FleetCase{"calm", false, false, false, false, false, 1, 1},
                     FleetCase{"oneHotTeam", false, false, false, false, false, 7.5, 1},
-                    FleetCase{"hostsCutOff", true, false, false, false, false, 7.5, 0},
+                    FleetCase{"hostsCutOff", true, false, false, false, false, 7.5, 0.9, false,
+                              false, false, longestTakeover},
                     FleetCase{"storeCutOff", false, true, false, false, false, 7.5, 0.99},
-                    FleetCase{"killed", false, false, true, false, false, 7.5, 0},
-                    FleetCase{"paused", false, false, false, true, false, 7.5, 0},
-                    FleetCase{"cutOffFromAll", true, true, false, false, false, 7.5, 0},
+                    FleetCase{"killed", false, false, true, false, false, 7.5, 0.9, false, false,
+                              false, longestTakeover},
+                    FleetCase{"paused", false, false, false, true, false, 7.5, 0.9, false, false,
+                              false, longestTakeover},
+                    FleetCase{"cutOffFromAll", true, true, false, false, false, 7.5, 0.9, false,
+                              false, false, longestTakeover},
+                    FleetCase{"zoneCutOff", false, false, false, false, false, 7.5, 0, true, false,
+                              false, longestTakeover},
+                    FleetCase{"twoCutOff", false, false, false, false, false, 7.5, 0, false, true,
+                              false, longestTakeover},
+                    FleetCase{"inboundCut", false, true, false, false, false, 7.5, 0.8, false,
+                              false, true, longestSuspension},
                     FleetCase{"everything", true, true, true, true, false, 7.5, 0},
+                    FleetCase{"zonesCutAndKilled", false, false, true, false, false, 7.5, 0, true},
                     FleetCase{"storeRestored", false, false, false, false, true, 7.5, 0.99},
                     FleetCase{"storeRestoredWhileCutOff", true, true, false, false, true, 7.5, 0},
                     FleetCase{"everythingAndRestored", true, true, true, true, true, 7.5, 0}),
--- a/test/QuotaServiceTest.cpp
+++ b/test/QuotaServiceTest.cpp
@@ -129,6 +129,53 @@
     EXPECT_TRUE(m_store.isWatched());
 }
 
+struct SilentHolderCase
+{
+    std::string name;
+    bool hasListener; ///< another host has the address of the holder
+};
+
+class SilentHolderTest : public testing::TestWithParam<SilentHolderCase>
+{ };
+
+// Guards against a second coordinator: a cut refuses connections too, and an address may pass to
+// another host, while the holder goes on (review case 11).
+TEST_P(SilentHolderTest, isNotTakenForOneThatHasEnded)
+{
+    boost::asio::io_context context;
+    Metrics metrics;
+    PeerServer other(context.get_executor());
+    std::function<Task<wire::QuotaReply>(wire::QuotaRequest, PeerRequest)> reply
+        = [](wire::QuotaRequest, PeerRequest) -> Task<wire::QuotaReply> {
+        wire::QuotaReply reached;
+        reached.set_host("c");
+        reached.set_incarnation("c-1");
+        reached.set_outcome(wire::QuotaReply::GRANTED);
+        co_return reached;
+    };
+    other.route(QuotaService::s_path, peerHandler(std::move(reply)));
+    const Endpoint address = GetParam().hasListener ? valueOf(other.listen({"127.0.0.1", 0}))
+                                                    : Endpoint{"127.0.0.1", 1};
+    MemoryLeaseStore store;
+    store.write("quota-0", {"b", "b-1", 1, 0}, [](const Outcome<Lease> &) {});
+    PeerClient peers(context.get_executor(), 300ms);
+    const QuotaOptions options{{"a", {"127.0.0.1", 1}, "z"}, "a-1", {5s, 0, 0}, {}};
+    QuotaService service(context, options, store, peers, metrics);
+    RoutingConfig config;
+    config.teams = {{"t", {}, std::nullopt, {5, 5}}};
+    service.onConfig(config);
+    service.onMembers({options.self, {"b", address, "z"}});
+    service.start();
+    runUntil(
+        context, [&] { return store.holderOf("quota-0") == "a"; }, 2500ms);
+    EXPECT_EQ(store.holderOf("quota-0"), "b");
+}
+
+INSTANTIATE_TEST_SUITE_P(Addresses, SilentHolderTest,
+                         testing::Values(SilentHolderCase{"refuses", false},
+                                         SilentHolderCase{"passedToAnotherHost", true}),
+                         [](const auto &info) { return info.param.name; });
+
 // A holder that has lost the store, but not the other hosts, grants nothing and answers calls.
 TEST(QuotaServiceChallengeTest, aHolderThatCannotProveItsLeaseIsReplaced)
 {
--- a/test/RestoredLeaseTest.cpp
+++ b/test/RestoredLeaseTest.cpp
@@ -25,7 +25,8 @@
 // the holder: the restored lease does not tell who held it last.
 TEST_P(RestoredLeaseTest, onlyAHolderWithAFreshProofGrantsWithoutWait)
 {
-    LeaseKeeper keeper(LeaseRules{}, {"a", "a-2"}, 0);
+    const LeaseVotes votes{LeaseRules{}};
+    LeaseKeeper keeper(LeaseRules{}, {"a", "a-2"}, 0, votes);
     keeper.setCandidates({"a", "b"});
     keeper.onLease(std::nullopt, 50, start);
     const auto first = keeper.beginWrite(start);
@@ -72,7 +73,8 @@
 // nothing.
 TEST(LeaseWaitTest, afterAWaitOnlyAProofFromAfterItCounts)
 {
-    LeaseKeeper keeper(LeaseRules{}, {"b", "b-1"}, 0);
+    const LeaseVotes votes{LeaseRules{}};
+    LeaseKeeper keeper(LeaseRules{}, {"b", "b-1"}, 0, votes);
     keeper.setCandidates({"a", "b"});
     keeper.onLease(Lease{"a", "a-1", 1, 5, 0}, 5, start);
     keeper.onProbe("a", ProbeResult::NoReply, start, start);
--- a/test/soak/LoopbackProxy.cpp
+++ b/test/soak/LoopbackProxy.cpp
@@ -26,18 +26,30 @@
     bool isMuted = false; ///< has lost a reply
 };
 
-LoopbackProxy::LoopbackProxy(asio::io_context &context, TimerQueue &timers, Endpoint target)
+LoopbackProxy::LoopbackProxy(asio::io_context &context, TimerQueue &timers, Endpoint target,
+                             const Endpoint &local, ReplyEdit editReply)
     : m_context(context)
     , m_timers(timers)
     , m_target(std::move(target))
-    , m_acceptor(context, {asio::ip::make_address("127.0.0.1"), 0})
+    , m_editReply(std::move(editReply))
+    , m_acceptor(context, {asio::ip::make_address(local.address), local.port})
+    , m_local(m_acceptor.local_endpoint())
 {
     accept();
 }
 
 Endpoint LoopbackProxy::endpoint() const
 {
-    return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    return {m_local.address().to_string(), m_local.port()};
+}
+
+void LoopbackProxy::listen()
+{
+    m_acceptor.open(m_local.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(m_local);
+    m_acceptor.listen();
+    accept();
 }
 
 void LoopbackProxy::reset(Link &link)
@@ -53,8 +65,12 @@
     if (m_mode != Mode::Passes)
         m_faultEndedAt = Clock::now();
     m_mode = mode;
+    if (mode == Mode::Refuses)
+        m_acceptor.close();
+    else if (!m_acceptor.is_open())
+        listen();
     std::erase_if(m_links, [](const auto &weak) { return weak.expired(); });
-    if (mode != Mode::Resets)
+    if (mode != Mode::Resets && mode != Mode::Refuses)
         return;
     for (const auto &weak : m_links) {
         if (const auto link = weak.lock())
@@ -70,13 +86,13 @@
         const auto link = std::make_shared<Link>(std::move(socket), m_context);
         m_links.push_back(link);
         accept();
-        if (m_mode == Mode::Resets) {
+        if (m_mode == Mode::Resets || m_mode == Mode::Refuses) {
             reset(*link);
             return;
         }
         link->server.async_connect({asio::ip::make_address(m_target.address), m_target.port},
                                    [this, link](const error_code &refused) {
-                                       if (refused) {
+                                       if (refused || m_mode == Mode::Refuses) {
                                            reset(*link);
                                            return;
                                        }
@@ -115,6 +131,8 @@
         pump(link, isReply);
         return;
     }
+    if (isReply && m_editReply)
+        m_editReply(link->buffers.at(1).data(), count);
     // Asynchronous, since the receiver may be stopped and the sender endless.
     auto &to = isReply ? link->caller : link->server;
     asio::async_write(
--- a/test/soak/LoopbackProxy.h
+++ b/test/soak/LoopbackProxy.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -20,10 +21,14 @@
         SilencesReplies, ///< drops replies; requests still pass
         SilencesAll,
         MutesConnections, ///< drops replies; connections that lose one stay open without any more
-        Resets ///< resets open connections now, and new ones on accept
+        Resets, ///< resets open connections now, and new ones on accept
+        Refuses ///< resets open connections now, and refuses new ones
     };
+    /// Changes bytes of a reply in place.
+    using ReplyEdit = std::function<void(char *bytes, std::size_t count)>;
 
-    LoopbackProxy(boost::asio::io_context &context, TimerQueue &timers, Endpoint target);
+    LoopbackProxy(boost::asio::io_context &context, TimerQueue &timers, Endpoint target,
+                  const Endpoint &local = {"127.0.0.1", 0}, ReplyEdit editReply = nullptr);
 
     Endpoint endpoint() const;
     void setMode(Mode mode);
@@ -36,6 +41,7 @@
 private:
     struct Link;
 
+    void listen();
     void accept();
     void pump(const std::shared_ptr<Link> &link, bool isReply);
     void forward(const std::shared_ptr<Link> &link, bool isReply, std::size_t count);
@@ -44,7 +50,9 @@
     boost::asio::io_context &m_context;
     TimerQueue &m_timers;
     const Endpoint m_target;
+    const ReplyEdit m_editReply;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    const boost::asio::ip::tcp::endpoint m_local;
     std::vector<std::weak_ptr<Link>> m_links;
     Mode m_mode = Mode::Passes;
     TimePoint m_faultEndedAt;
--- a/test/soak/SoakBackend.cpp
+++ b/test/soak/SoakBackend.cpp
@@ -87,6 +87,7 @@
                            + "\r\n");
     }
     ++m_executions[id];
+    m_onExecution(id);
     std::string fields = "X-Server-Stamp: " + signature(m_service, id) + "\r\nX-Request-Id: " + id
         + "\r\nX-Instance-Id: " + m_id + "\r\n";
     if (m_isLeaving) {
--- a/test/soak/SoakBackend.h
+++ b/test/soak/SoakBackend.h
@@ -39,6 +39,11 @@
     Endpoint endpoint() const { return m_proxy.endpoint(); }
     LoopbackProxy &proxy() { return m_proxy; }
     void setMode(Mode mode) { m_mode = mode; }
+    /// \brief \a handler runs at each execution, with the id of the request.
+    void setExecutionHandler(std::function<void(const std::string &id)> handler)
+    {
+        m_onExecution = std::move(handler);
+    }
     /// \brief States in all responses from now on that this server is leaving.
     void announceLeaving() { m_isLeaving = true; }
     /// \brief Continues as a new instance under the same id.
@@ -62,6 +67,7 @@
     NoticeCheck &m_notices;
     RandomEngine m_random;
     Mode m_mode = Mode::Serves;
+    std::function<void(const std::string &id)> m_onExecution = [](const std::string &) {};
     bool m_isLeaving = false;
     int m_born = 1;
     ScriptedServer m_server;
--- a/test/soak/SoakGateway.cpp
+++ b/test/soak/SoakGateway.cpp
@@ -40,10 +40,15 @@
     , m_store(std::move(store))
     , m_callers(ownLoopbackAddress(number), 7001)
     , m_readiness(ownLoopbackAddress(number), 7002)
-    , m_peer(ownLoopbackAddress(number), 7003)
+    , m_peer(peerOf(number))
     , m_extraSettings(std::move(extraSettings))
 { }
 
+Endpoint SoakGateway::peerOf(int number)
+{
+    return {ownLoopbackAddress(number), 7003};
+}
+
 SoakGateway::~SoakGateway()
 {
     if (m_pid <= 0)
@@ -65,7 +70,9 @@
                                   << "\n[bounds]\ngraceS = 6\ndrainMs = 3000\n"
                                      "retryBudgetRatio = 0.2\nbudgetWindowS = 10\n"
                                      "retryBudgetExtra = "
-                                  << extraRepeats << "\nconfigApplyMs = " << s_updateLimit.count()
+                                  << extraRepeats
+                                  << "\nquotaWindowS = 5\nquotaOverage = 0.1\nquotaSlack = 20"
+                                  << "\nconfigApplyMs = " << s_updateLimit.count()
                                   << "\n[platform]\naddress = " << quoted(m_store)
                                   << "\nreadsPerS = 2000\n"
                                   << m_extraSettings;
--- a/test/soak/SoakGateway.h
+++ b/test/soak/SoakGateway.h
@@ -30,6 +30,8 @@
     Endpoint callers() const { return m_callers; }
     Endpoint readiness() const { return m_readiness; }
     Endpoint peer() const { return m_peer; }
+    /// \brief Address on which the other gateways call gateway \a number.
+    static Endpoint peerOf(int number);
     /// \brief Writes the settings, with \a seeds, and starts the process.
     void start(const std::vector<Endpoint> &seeds);
     void signal(int number);
--- a/test/soak/gwt-soak.cpp
+++ b/test/soak/gwt-soak.cpp
@@ -1,3 +1,4 @@
+#include "QuotaSoak.h"
 #include "Soak.h"
 
 #include <boost/program_options.hpp>
@@ -11,6 +12,30 @@
 
 constexpr std::size_t shownFailures = 5; ///< failures printed per run
 
+/// Runs soaks of quotas; returns the number of those that failed.
+int runQuotaSoaks(const gwt::test::SoakOptions &options, std::uint64_t firstSeed, int runs)
+{
+    int failed = 0;
+    for (int run = 0; run < runs; ++run) {
+        gwt::test::QuotaSoakOptions quotaOptions;
+        quotaOptions.seed = firstSeed + static_cast<std::uint64_t>(run);
+        quotaOptions.duration = options.duration;
+        quotaOptions.gateways = options.gateways;
+        quotaOptions.faults = options.faults;
+        gwt::test::QuotaSoak soak(quotaOptions);
+        const std::vector<std::string> violations = soak.run();
+        std::cout << "seed " << quotaOptions.seed << ": at most " << soak.quota().mostInAWindow()
+                  << " of " << gwt::test::QuotaCheck::allowedInAWindow()
+                  << " requests in a window, broken " << violations.size() << std::endl;
+        for (const std::string &what : violations)
+            std::cout << "  " << what << "\n";
+        if (!violations.empty())
+            std::cout << "  logs: " << soak.folder() << std::endl;
+        failed += violations.empty() ? 0 : 1;
+    }
+    return failed;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -22,6 +47,7 @@
     po::options_description description(
         "Injects faults into real gateways and checks their guarantees");
     description.add_options()("help", "print this help")(
+        "quota", "inject faults beside a team that exceeds its quota")(
         "seed", po::value(&first)->default_value(1), "first seed")(
         "runs", po::value(&runs)->default_value(1), "number of runs, each with the next seed")(
         "seconds", po::value(&seconds)->default_value(8), "duration of the faults in a run")(
@@ -44,6 +70,8 @@
         return 0;
     }
     options.duration = std::chrono::seconds(seconds);
+    if (values.count("quota") > 0)
+        return runQuotaSoaks(options, first, runs) == 0 ? 0 : 1;
     int failed = 0;
     for (int run = 0; run < runs; ++run) {
         options.seed = first + static_cast<std::uint64_t>(run);
