Let a host that is cut off for long use no standing rights

Cause: a member that has not answered for a minute is removed from the registry (MemberReaper), and the others divide its standing rights among themselves. If it is only cut off, it goes on to use them: silence is taken for its end. With a zone of 24 of 73 hosts cut off for more than a minute, the rights of both sides add up to a third more than the nine tenths of the tolerance that they may take.

Change: a host whose list of members is older than 45 s, and that reaches only a minority of the hosts that it asks for votes, uses none. An outage of the store alone changes nothing, since the hosts still reach each other, and no member can be removed then.

Evidence: RightsOfACutOffHostTest (longCut is red without the check). Not played with real processes: the cut would have to last for more than a minute.

--- a/apps/gwt-gateway.cpp
+++ b/apps/gwt-gateway.cpp
@@ -80,6 +80,7 @@
                                      settings.hasEvacuations ? Evacuations::Followed
                                                              : Evacuations::Ignored);
     gwt::StateSharing sharing(context, sharingOptions, state, feed, metrics);
+    quotaService.setStateAge([&sharing] { return sharing.registryAge(gwt::Clock::now()); });
     core.setConfigAge([&sharing] { return sharing.registryAge(gwt::Clock::now()); });
     gwt::platform::SettingsWatch watch(timers, path, settings,
                                        [&core, &process](const PlatformSettings &changed) {
--- a/src/gateway/quota/QuotaClient.cpp
+++ b/src/gateway/quota/QuotaClient.cpp
@@ -73,13 +73,14 @@
 void QuotaClient::acquire(const Team &team, TimePoint deadline, Handler handler)
 {
     // A call takes a part of a short target, so rights are used first.
-    if (m_rights.tryUse(team, Clock::now())) {
+    const TimePoint now = Clock::now();
+    if (m_service.mayUseRights(now) && m_rights.tryUse(team, now)) {
         count("standing");
         handler({});
         return;
     }
     const Coordinator &coordinator = m_coordinators[quotaRangeOf(team.name)];
-    if (Clock::now() < coordinator.silentUntil) {
+    if (now < coordinator.silentUntil) {
         handler(unknown("silent"));
         return;
     }
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -1,6 +1,7 @@
 #include "gateway/quota/QuotaService.h"
 
 #include "common/Sleep.h"
+#include "gateway/sharing/MemberReaper.h"
 #include "peer/PeerCodec.h"
 
 #include <algorithm>
@@ -23,6 +24,10 @@
 constexpr Milliseconds recentProofAge{4500};
 /// Age of its proof from which a holder lets a process that can prove the leases take over.
 constexpr Milliseconds losingProofAge{5000};
+/// Age of the list of members from which a host that is cut off uses no standing rights.
+constexpr Duration maxMemberAge = MemberReaper::s_minSilence * 3 / 4;
+/// Age of the list of members from which a host checks whether it is cut off.
+constexpr Duration suspectMemberAge = MemberReaper::s_minSilence / 2;
 /// Age up to which a failed probe tells that this host cannot reach another one.
 constexpr Milliseconds failedProbeLifetime{1000};
 const std::string probeId = "quota-probe";
@@ -116,8 +121,11 @@
                 checkHost(name);
         }
     }
-    if (!isWatching)
+    if (!isWatching) {
+        if (m_stateAge() > suspectMemberAge)
+            askForVotes(now);
         return;
+    }
     // Without contact to the store a write would only fail, again and again.
     const bool reachesStore = now - m_store.provenAt() <= recentProofAge;
     for (std::size_t i = 0; i < quotaRangeCount; ++i) {
@@ -167,6 +175,11 @@
     return true;
 }
 
+bool QuotaService::mayUseRights(TimePoint now) const
+{
+    return m_stateAge() < maxMemberAge || !m_electorate.isIsolated(now);
+}
+
 void QuotaService::withdrawOwnVote(std::size_t range, TimePoint now)
 {
     LeaseKeeper &keeper = *m_ranges[range].keeper;
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -15,6 +15,7 @@
 #include <gateway.pb.h>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <set>
 
@@ -47,6 +48,8 @@
     void onBackendChanges(const std::vector<BackendChange> &) override { }
     void onRegistryRecovery() override { }
 
+    /// \brief Sets the source of the time since the list of members was last proved current.
+    void setStateAge(std::function<Duration()> age) { m_stateAge = std::move(age); }
     void start();
     /// \brief Releases the leases: this process is about to end.
     void stop();
@@ -58,6 +61,9 @@
     /// \brief Checks whether \a host, which did not reply to a request in time, is still there.
     void checkHost(const std::string &host);
     bool isActive() const { return m_isActive; }
+    /// \brief False if the other hosts may have removed this one from the members, which it cannot
+    /// know while it is cut off, and divide its standing rights among themselves.
+    bool mayUseRights(TimePoint now) const;
 
 private:
     struct Range
@@ -118,6 +124,7 @@
     bool m_isStopping = false;
     std::map<std::string, TimePoint> m_failedProbes; ///< time of the last probe, if it failed
     std::set<std::string> m_probedHosts; ///< with a probe in progress
+    std::function<Duration()> m_stateAge = [] { return Duration::zero(); };
     TimePoint m_probedAt;
     TimePoint m_votesAskedAt;
     TimePoint m_nextSessionCheck;
--- a/test/QuotaServiceTest.cpp
+++ b/test/QuotaServiceTest.cpp
@@ -129,6 +129,36 @@
     EXPECT_TRUE(m_store.isWatched());
 }
 
+struct RightsCase
+{
+    std::string name;
+    Duration stateAge;
+    std::size_t others; ///< members that do not answer
+    bool mayUse;
+};
+
+class RightsOfACutOffHostTest : public QuotaServiceTest,
+                                public testing::WithParamInterface<RightsCase>
+{ };
+
+// Guards against rights that are used twice: the others remove a member that has not answered for a
+// minute and divide its rights, while it still uses them if it is only cut off.
+TEST_P(RightsOfACutOffHostTest, endBeforeItsRegistrationMayBeRemoved)
+{
+    std::vector<FleetMember> members{m_options.self};
+    for (std::size_t i = 0; i < GetParam().others; ++i)
+        members.push_back({"host-" + std::to_string(i), {"127.0.0.1", 1}, "z"});
+    setMembers(members);
+    m_service.setStateAge([] { return GetParam().stateAge; });
+    EXPECT_EQ(m_service.mayUseRights(Clock::now()), GetParam().mayUse);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ages, RightsOfACutOffHostTest,
+                         testing::Values(RightsCase{"shortCut", 30s, 3, true},
+                                         RightsCase{"longCut", 50s, 3, false},
+                                         RightsCase{"theOnlyMember", 50s, 0, true}),
+                         [](const auto &info) { return info.param.name; });
+
 struct SilentHolderCase
 {
     std::string name;
