--- a/src/gateway/sharing/StateSharing.cpp
+++ b/src/gateway/sharing/StateSharing.cpp
@@ -94,12 +94,20 @@
 void StateSharing::checkMembership(TimePoint now)
 {
     const std::vector<FleetMember> &members = m_state.members();
+    if (members.empty())
+        return;
+    // Members stay listed when the store has returned from a copy without their registration.
+    const std::uint64_t era = storeEraOf(m_state.memberRevision());
+    if (era > std::exchange(m_memberEra, era).value_or(era))
+        m_isRejoinDue = true;
     const bool isMember = std::any_of(members.begin(), members.end(), [&](const auto &member) {
         return member.name == m_options.self.name;
     });
-    if (isMember || members.empty() || now - m_joinedAt < m_options.minJoinInterval)
+    if ((isMember && !m_isRejoinDue) || now - m_joinedAt < m_options.minJoinInterval)
         return;
-    logWarning("membership_lost", {{"members", members.size()}});
+    m_isRejoinDue = false;
+    if (!isMember)
+        logWarning("membership_lost", {{"members", members.size()}});
     m_joinedAt = now;
     m_feed.rejoin();
 }
--- a/src/gateway/sharing/StateSharing.h
+++ b/src/gateway/sharing/StateSharing.h
@@ -86,6 +86,8 @@
     bool m_hasJoined = false;
     std::size_t m_nextSource = 0;
     std::uint64_t m_memberRevision = 0; ///< of the members in the tree and the reaper
+    std::optional<std::uint64_t> m_memberEra; ///< of the registry, in the last list of members
+    bool m_isRejoinDue = false; ///< the registry may have lost the registration of this process
     TimePoint m_joinedAt; ///< time of the last registration request
     Duration m_staleAfter; ///< registry age above which this process is stale
     TimePoint m_takeoverFrom; ///< before it, this process relies on its sources even without proof
--- a/test/FleetSharingTest.cpp
+++ b/test/FleetSharingTest.cpp
@@ -399,5 +399,19 @@
         m_context, [&] { return lost.feed.rejoinCount > 0; }, 3s));
 }
 
+// Members stay listed when the store has lost their registration, so the list tells nothing.
+TEST_F(StateSharingTest, aProcessRegistersAgainInANewEraAlthoughItIsListed)
+{
+    makeProcesses(1, 50ms);
+    Process &listed = *m_processes[0];
+    ASSERT_TRUE(isOk(listed.sharing.start()));
+    listed.state.setMembers(listed.state.members(), combineStoreRevision(1, 3));
+    EXPECT_TRUE(test::runUntil(
+        m_context, [&] { return listed.feed.rejoinCount > 0; }, 3s));
+    test::runUntil(
+        m_context, [] { return false; }, 200ms);
+    EXPECT_EQ(listed.feed.rejoinCount, 1);
+}
+
 } // namespace
 } // namespace gwt
