Move the suspension of votes into LeaseVoter, the model of a host into a header

Whether a voter suspends its votes is a decision, so it moves to LeaseVoter, which does no I/O, with a test of its own (VoteSuspensionTest). checkHost() leaves out this host itself.

--- a/src/gateway/quota/LeaseVoter.h
+++ b/src/gateway/quota/LeaseVoter.h
@@ -21,11 +21,14 @@
 
     /// \brief Votes for the leases of process \a incarnation; false if the vote was withdrawn.
     bool vote(const std::string &incarnation, TimePoint now);
-    /// \brief Withdraws the vote for \a incarnation; false if the last one has not expired yet.
-    bool withdraw(const std::string &incarnation, TimePoint now);
-    /// \brief Gives no votes for \a incarnation for LeaseRules::suspensionTime, so that the last
-    /// one expires: this host cannot reach it, nor can the caller.
-    void suspend(const std::string &incarnation, TimePoint now);
+    /// \brief Records whether this process has just reached \a host.
+    void recordProbe(const std::string &host, bool isReached, TimePoint now);
+    /// \brief Withdraws the vote for process \a incarnation on \a host, which a candidate cannot
+    /// reach; false if the last vote has not expired yet.
+    ///
+    /// If this process cannot reach \a host either, it gives no further votes for
+    /// LeaseRules::suspensionTime, so that the last one expires.
+    bool withdraw(const std::string &host, const std::string &incarnation, TimePoint now);
     std::size_t size() const { return m_votes.size(); }
 
 private:
@@ -37,10 +40,12 @@
     };
 
     void dropExpired(TimePoint now);
+    bool cannotReach(const std::string &host, TimePoint now) const;
 
     const LeaseRules m_rules;
     const TimePoint m_start;
     std::map<std::string, Vote> m_votes; ///< by incarnation
+    std::map<std::string, TimePoint> m_failedProbes; ///< time of the last probe, if it failed
 };
 
 } // namespace gwt
--- a/src/gateway/quota/QuotaService.cpp
+++ b/src/gateway/quota/QuotaService.cpp
@@ -28,8 +28,6 @@
 constexpr Duration maxMemberAge = MemberReaper::s_minSilence * 3 / 4;
 /// Age of the list of members from which a host checks whether it is cut off.
 constexpr Duration suspectMemberAge = MemberReaper::s_minSilence / 2;
-/// Age up to which a failed probe tells that this host cannot reach another one.
-constexpr Milliseconds failedProbeLifetime{1000};
 const std::string probeId = "quota-probe";
 
 bool contains(const std::vector<std::string> &names, const std::string &name)
@@ -70,8 +68,6 @@
     m_addresses.clear();
     for (const FleetMember &member : members)
         m_addresses[member.name] = member.peer;
-    std::erase_if(m_failedProbes,
-                  [this](const auto &each) { return !m_addresses.contains(each.first); });
 }
 
 void QuotaService::start()
@@ -100,9 +96,7 @@
 {
     if (!m_isActive && !m_isWatching)
         return;
-    std::vector<std::string> names;
-    for (const FleetMember &member : m_tree.watchers(now))
-        names.push_back(member.name);
+    const std::vector<std::string> names = candidates(0, now);
     const bool isCandidate = contains(names, m_options.self.name);
     // A holder that others reach is not challenged, so it follows its lease until it is replaced.
     const bool isWatching = m_isActive && (isCandidate || isHolder()) && !m_isStopping;
@@ -116,10 +110,8 @@
     }
     if (m_isActive && now >= m_nextSessionCheck) {
         m_nextSessionCheck = now + sessionCheckInterval;
-        for (const std::string &name : names) {
-            if (name != m_options.self.name)
-                checkHost(name);
-        }
+        for (const std::string &name : names)
+            checkHost(name);
     }
     if (!isWatching) {
         if (m_stateAge() > suspectMemberAge)
@@ -159,8 +151,6 @@
         if (asksVoters)
             hosts.insert(keeper.voters().begin(), keeper.voters().end());
     }
-    hosts.erase(m_options.self.name);
-    hosts.erase("");
     for (const std::string &host : hosts)
         checkHost(host);
 }
@@ -192,13 +182,9 @@
 bool QuotaService::tryWithdraw(const std::string &host, const std::string &incarnation,
                                TimePoint now)
 {
-    if (m_voter.withdraw(incarnation, now))
+    if (m_voter.withdraw(host, incarnation, now))
         return true;
-    const auto failed = m_failedProbes.find(host);
-    if (failed != m_failedProbes.end() && now - failed->second <= failedProbeLifetime)
-        m_voter.suspend(incarnation, now);
-    else
-        checkHost(host);
+    checkHost(host);
     return false;
 }
 
@@ -266,13 +252,11 @@
                                 TimePoint sentAt)
 {
     const TimePoint now = Clock::now();
-    if (reply) {
+    m_voter.recordProbe(host, reply != nullptr, now);
+    if (reply)
         m_tree.recordSuccess(host);
-        m_failedProbes.erase(host);
-    } else {
+    else
         m_tree.recordFailure(host, Duration::zero(), now);
-        m_failedProbes[host] = now;
-    }
     if (reply && reply->votes())
         m_votes.record(host, sentAt);
     else
@@ -387,7 +371,8 @@
 
 void QuotaService::checkHost(const std::string &host)
 {
-    if (m_probedHosts.insert(host).second)
+    const bool isOther = !host.empty() && host != m_options.self.name;
+    if (isOther && m_probedHosts.insert(host).second)
         spawn(m_executor, probe(host));
 }
 
--- a/src/gateway/quota/QuotaService.h
+++ b/src/gateway/quota/QuotaService.h
@@ -58,7 +58,7 @@
     wire::QuotaReply handle(const wire::QuotaRequest &request);
     /// \brief Names of the hosts to ask, the most likely holder of \a range first.
     std::vector<std::string> candidates(std::size_t range, TimePoint now) const;
-    /// \brief Checks whether \a host, which did not reply to a request in time, is still there.
+    /// \brief Checks whether \a host, unless it is this one, can be reached, and asks for its vote.
     void checkHost(const std::string &host);
     bool isActive() const { return m_isActive; }
     /// \brief False if the other hosts may have removed this one from the members, which it cannot
@@ -83,9 +83,7 @@
     void tick(TimePoint now);
     /// \brief Probes the hosts that are due: candidates, holders, and voters.
     void probeHosts(const std::vector<std::string> &candidates, TimePoint now);
-    /// \brief Withdraws the vote of this process from \a incarnation on \a host, which a candidate
-    /// cannot reach; if it is still valid and this process cannot reach \a host either, lets it
-    /// expire.
+    /// \brief As LeaseVoter::withdraw(); if it fails, finds out whether \a host can be reached.
     bool tryWithdraw(const std::string &host, const std::string &incarnation, TimePoint now);
     /// \brief Asks hosts for votes if they are due; returns whether they were.
     bool askForVotes(TimePoint now);
@@ -122,7 +120,6 @@
     bool m_isStarted = false;
     bool m_isRunning = false; ///< run() is in progress
     bool m_isStopping = false;
-    std::map<std::string, TimePoint> m_failedProbes; ///< time of the last probe, if it failed
     std::set<std::string> m_probedHosts; ///< with a probe in progress
     std::function<Duration()> m_stateAge = [] { return Duration::zero(); };
     TimePoint m_probedAt;
--- a/test/LeaseElectionTest.cpp
+++ b/test/LeaseElectionTest.cpp
@@ -128,7 +128,7 @@
         EXPECT_TRUE(voter.vote("b-1", start + *GetParam().votedAt));
     }
     const TimePoint askedAt = start + GetParam().askedAt;
-    EXPECT_EQ(voter.withdraw("b-1", askedAt), GetParam().isWithdrawn);
+    EXPECT_EQ(voter.withdraw("b", "b-1", askedAt), GetParam().isWithdrawn);
     EXPECT_EQ(voter.vote("b-1", askedAt + rules.withdrawalTime - 1ms), !GetParam().isWithdrawn);
     EXPECT_TRUE(voter.vote("b-1", askedAt + rules.withdrawalTime));
     EXPECT_TRUE(voter.vote("c-1", askedAt));
@@ -141,6 +141,35 @@
                                          VoterCase{"expired", 5s, 6200ms, true}),
                          [](const auto &info) { return info.param.name; });
 
+struct SuspensionCase
+{
+    std::string name;
+    bool isReached; ///< the holder, by the voter
+    bool isSuspended;
+};
+
+class VoteSuspensionTest : public testing::TestWithParam<SuspensionCase>
+{ };
+
+// A holder that reaches its voters, but that neither they nor candidates reach, serves nobody else.
+TEST_P(VoteSuspensionTest, endsTheVotesForAHolderThatTheVoterCannotReach)
+{
+    LeaseVoter voter(rules, start);
+    TimePoint now = start + 5s;
+    EXPECT_TRUE(voter.vote("b-1", now));
+    voter.recordProbe("b", GetParam().isReached, now);
+    EXPECT_FALSE(voter.withdraw("b", "b-1", now));
+    now += 500ms;
+    EXPECT_EQ(voter.vote("b-1", now), !GetParam().isSuspended);
+    now += 700ms;
+    EXPECT_EQ(voter.withdraw("b", "b-1", now), GetParam().isSuspended);
+}
+
+INSTANTIATE_TEST_SUITE_P(Probes, VoteSuspensionTest,
+                         testing::Values(SuspensionCase{"reached", true, false},
+                                         SuspensionCase{"notReached", false, true}),
+                         [](const auto &info) { return info.param.name; });
+
 TEST(LeaseRulesTest, aWithdrawnVoteIsNotGivenAgainBeforeTheFormerHolderLearnsOfItsSuccessor)
 {
     EXPECT_GT(rules.voteExpiry, rules.voteLifetime);
--- a/test/QuotaFleetTest.cpp
+++ b/test/QuotaFleetTest.cpp
@@ -1,10 +1,4 @@
-#include "common/StoreRevision.h"
-#include "gateway/quota/LeaseElectorate.h"
-#include "gateway/quota/LeaseKeeper.h"
-#include "gateway/quota/LeaseVoter.h"
-#include "gateway/quota/QuotaLedger.h"
-#include "gateway/quota/QuotaRanges.h"
-#include "gateway/quota/StandingRights.h"
+#include "SimulatedQuotaHost.h"
 
 #include <gtest/gtest.h>
 
@@ -17,9 +11,11 @@
 namespace {
 
 using namespace std::chrono_literals;
+using test::SharedLease;
+using test::SimulatedHost;
 
 const TimePoint start{1h};
-const QuotaRules rules{5s, 0.1, 20};
+const QuotaRules rules = test::quotaRules;
 
 Team makeTeam(const std::string &name, double rate)
 {
@@ -32,80 +28,6 @@
     return quota.ratePerSecond * 5 + quota.burst + rules.toleranceOf(quota);
 }
 
-/// The leases of a store, with conditional updates.
-class SharedLease
-{
-public:
-    std::optional<Lease> lease() const { return m_lease; }
-    std::uint64_t revision() const { return m_revision; }
-    std::optional<Lease> write(Lease lease, TimePoint now)
-    {
-        if (lease.revision != (m_lease ? m_lease->revision : 0))
-            return std::nullopt;
-        lease.revision = ++m_revision;
-        m_copies.push_back({now, m_lease});
-        m_lease = lease;
-        return m_lease;
-    }
-    /// Loses the writes after \a time. All revisions are assigned again.
-    void returnToCopyOf(TimePoint time)
-    {
-        while (!m_copies.empty() && m_copies.back().replacedAt > time) {
-            m_lease = m_copies.back().lease;
-            m_copies.pop_back();
-        }
-        const std::uint64_t era = storeEraOf(m_revision) + 1;
-        m_revision = combineStoreRevision(era, m_copies.size() + 1);
-        if (m_lease)
-            m_lease->revision = combineStoreRevision(era, ownStoreRevisionOf(m_lease->revision));
-    }
-
-private:
-    struct Copy
-    {
-        TimePoint replacedAt;
-        std::optional<Lease> lease;
-    };
-
-    std::optional<Lease> m_lease;
-    std::vector<Copy> m_copies; ///< oldest first
-    std::uint64_t m_revision = 1;
-};
-
-/// A host of a fleet in virtual time. All teams are in one range.
-struct SimulatedHost
-{
-    SimulatedHost(const FleetMember &member, int processNumber, TimePoint startedAt)
-        : name(member.name)
-        , incarnation(name + "-" + std::to_string(processNumber))
-        , electorate(LeaseRules{}, member, votes)
-        , voter(LeaseRules{}, startedAt)
-        , keeper(LeaseRules{}, {name, incarnation}, 0, votes)
-        , rights(rules, name, startedAt)
-    { }
-
-    std::string name;
-    std::string incarnation;
-    LeaseVotes votes{LeaseRules{}};
-    LeaseElectorate electorate;
-    LeaseVoter voter;
-    LeaseKeeper keeper;
-    std::optional<QuotaLedger> ledger;
-    StandingRights rights;
-    TimePoint provenAt;
-    std::uint64_t era = 0; ///< of the store, as known
-    TimePoint probedAt;
-    TimePoint votersAskedAt;
-    TimePoint votersChangedAt;
-    int network = 0; ///< hosts reach only those with the same number
-    bool isDeaf = false; ///< reaches other hosts, which do not reach it
-    bool reachesStore = true;
-    TimePoint pausedUntil;
-    TimePoint downUntil;
-
-    bool runs(TimePoint now) const { return now >= pausedUntil && now >= downUntil; }
-};
-
 /// What disturbs the fleet in one run.
 struct FleetCase
 {
@@ -237,10 +159,10 @@
                 host.electorate.recordFailure(name, m_now);
             if (challenged.empty() || !canCall(host, voter))
                 continue;
-            if (voter.voter.withdraw(challenged, m_now))
+            const std::string &holder = host.keeper.holder();
+            voter.voter.recordProbe(holder, canCall(voter, hostOf(holder)), m_now);
+            if (voter.voter.withdraw(holder, challenged, m_now))
                 host.keeper.onWithdrawal(name, challenged, m_now);
-            else if (!canCall(voter, hostOf(host.keeper.holder())))
-                voter.voter.suspend(challenged, m_now);
         }
     }
 
