Have a refused connection to the owner of a slice confirmed on its host

A cut with refusals between the two owners of a slice made the second one take over for 5 s while the first went on, so that both used all slots of its backend servers (docs/PROMISES.md listed it as a known limit).

Cause: OwnerTakeover took a connection that is refused from another host for the end of the process.

Change: the second owner asks another daemon on the first owner's host (/member/refuses) whether it is refused there, too. No cut between hosts affects that connection. Without such a confirmation the membership decides, as for a host that is lost. Weighed: confirmation by relays of other hosts (all of them are refused by a host that is cut off); no takeover before the membership's verdict (1.3 s without an owner after kills, docs/PROMISES.md).

The row "ended" of OwnerTakeoverTest expected a refusal alone to suffice; it now has a neighbour that confirms it, and three rows ask for no takeover without that. With the confirmation switched off these three are red. OwnerGapTest, whose daemons run three on a host, passes; ChaosTest, too.

Not covered: all daemons of a host killed at once wait for the membership.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -5,6 +5,8 @@
 #include "daemon/AdminServer.h"
 #include "daemon/CommandLine.h"
 #include "daemon/DaemonStatus.h"
+#include "daemon/RefusalCheck.h"
+#include "peer/PeerCodec.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -147,6 +149,12 @@
         services.readiness, services.metrics, [&] { return status.json(); },
         [&](const std::string &path) { return role.inspect(path); });
     const Outcome<Endpoint> adminBound = admin.listen(services.options.admin);
+    const RefusalCheck refusals(services.membership, services.options.host);
+    services.peerServer.route(RefusalCheck::s_path,
+                              peerHandler<wire::RefusalCheckRequest, wire::RefusalCheckReply>(
+                                  [&refusals](wire::RefusalCheckRequest request, PeerRequest) {
+                                      return refusals.answer(std::move(request));
+                                  }));
     const Outcome<Done> started = role.start();
     const Outcome<Endpoint> peerBound = services.peerServer.listen(services.options.peer);
     const Outcome<Endpoint> gossipBound = services.membership.start();
--- a/src/daemon/DaemonModule.h
+++ b/src/daemon/DaemonModule.h
@@ -13,3 +13,4 @@
 #include "daemon/PeerMemory.h"
 #include "daemon/ProgramRunner.h"
 #include "daemon/Readiness.h"
+#include "daemon/RefusalCheck.h"
--- a/src/peer/ConnectAttempt.h
+++ b/src/peer/ConnectAttempt.h
@@ -12,8 +12,9 @@
 Task<boost::system::error_code> connectWithin(asio::ip::tcp::socket &socket, Endpoint remote,
                                               Milliseconds timeout);
 
-/// \brief True if the host of \a remote refuses a connection, which proves that no process listens
-/// there. False if the host does not respond within \a timeout or the process is suspended.
+/// \brief True if a connection to \a remote is refused. Only on the same host does this prove that
+/// no process listens there: cuts between hosts refuse connections too. False if there is no
+/// response within \a timeout, as from a suspended process with a full queue.
 Task<bool> refusesConnections(Endpoint remote, Milliseconds timeout);
 
 } // namespace gwt
--- a/src/relay/OwnerTakeover.cpp
+++ b/src/relay/OwnerTakeover.cpp
@@ -1,8 +1,10 @@
 #include "relay/OwnerTakeover.h"
 
 #include "common/Log.h"
+#include "daemon/RefusalCheck.h"
 #include "membership/Ownership.h"
 #include "peer/ConnectAttempt.h"
+#include "peer/PeerCodec.h"
 
 namespace gwt {
 
@@ -10,14 +12,17 @@
 
 constexpr Milliseconds checkInterval{20}; ///< between two checks of one member
 constexpr Milliseconds connectTimeout{100};
+constexpr Milliseconds confirmTimeout{100}; ///< of all calls to the host of the first owner
+const std::string checkId = "refusal-check";
 
 } // namespace
 
 OwnerTakeover::OwnerTakeover(const ConfigHolder &config, const SliceOwnership &ownership,
-                             ReachableMembers &members, Metrics &metrics)
+                             ReachableMembers &members, PeerClient &peers, Metrics &metrics)
     : m_config(config)
     , m_ownership(ownership)
     , m_members(members)
+    , m_peers(peers)
     , m_metrics(metrics)
 { }
 
@@ -30,12 +35,37 @@
         countCheck("not_proven");
         co_return;
     }
+    if (!co_await isRefusalConfirmed(*first)) {
+        countCheck("not_confirmed");
+        co_return;
+    }
     if (!m_members.markEnded(*first, Clock::now()))
         co_return;
     countCheck("ended");
     logInfo("owner_ended", {{"member", first->id}, {"service", service}});
 }
 
+Task<bool> OwnerTakeover::isRefusalConfirmed(Member relay)
+{
+    const std::shared_ptr<const MemberList> members = m_members.members();
+    wire::RefusalCheckRequest request;
+    request.set_address(toString(relay.peerAddress));
+    const TimePoint deadline = Clock::now() + confirmTimeout;
+    for (const Member &member : *members) {
+        const bool isNeighbor = member.host == relay.host && member.id != relay.id
+            && member.state == MemberState::Alive;
+        if (!isNeighbor)
+            continue;
+        const CancelToken cancel;
+        const Endpoint remote = member.peerAddress;
+        const auto reply = co_await callPeer<wire::RefusalCheckReply>(
+            m_peers, remote, RefusalCheck::s_path, request, checkId, deadline, cancel);
+        if (isOk(reply))
+            co_return valueOf(reply).refuses();
+    }
+    co_return false;
+}
+
 std::optional<Member> OwnerTakeover::precedingOwner(const std::string &service) const
 {
     const ConfigPtr config = m_config.current();
--- a/test/OwnerTakeoverTest.cpp
+++ b/test/OwnerTakeoverTest.cpp
@@ -1,5 +1,7 @@
 #include "TaskRunner.h"
+#include "daemon/RefusalCheck.h"
 #include "membership/Membership.h"
+#include "peer/Peer.h"
 #include "relay/Relay.h"
 
 #include <gtest/gtest.h>
@@ -41,6 +43,7 @@
     Member member;
     member.id = id;
     member.role = Role::Relay;
+    member.host = "host-" + id;
     member.peerAddress = address;
     member.isReady = true;
     member.incarnation = 7;
@@ -90,10 +93,14 @@
 /// a serving one, until its listen queue is full.
 enum class FirstOwner { Ended, Listening, QueueFull };
 
+/// \brief What another daemon on the host of the first owner states.
+enum class Neighbor { Absent, Silent, Confirms, Denies };
+
 struct FirstOwnerCase
 {
     const char *name;
     FirstOwner first;
+    Neighbor neighbor;
     bool isSelfSecondOwner;
     OwnerRank rankAfter;
 };
@@ -112,6 +119,32 @@
     }
     ~OwnerTakeoverTest() override { m_pool.stop(); }
 
+    /// \brief Adds a daemon on the host of the first owner to \a members.
+    void addNeighbor(MemberList &members)
+    {
+        const Neighbor neighbor = GetParam().neighbor;
+        if (neighbor == Neighbor::Absent)
+            return;
+        Member member = makeRelay("n", {"127.0.0.1", 1});
+        member.role = Role::Entry;
+        for (const Member &relay : members) {
+            if (relay.peerAddress != selfAddress)
+                member.host = relay.host;
+        }
+        if (neighbor != Neighbor::Silent) {
+            m_neighbor.route(RefusalCheck::s_path,
+                             peerHandler<wire::RefusalCheckRequest, wire::RefusalCheckReply>(
+                                 [neighbor](wire::RefusalCheckRequest,
+                                            PeerRequest) -> Task<wire::RefusalCheckReply> {
+                                     wire::RefusalCheckReply reply;
+                                     reply.set_refuses(neighbor == Neighbor::Confirms);
+                                     co_return reply;
+                                 }));
+            member.peerAddress = valueOf(m_neighbor.listen({"127.0.0.1", 0}));
+        }
+        members.push_back(member);
+    }
+
     /// \brief Fills the listen queue, so that further connections get no answer.
     void fillListenQueue()
     {
@@ -140,14 +173,20 @@
     std::list<tcp::socket> m_pendingConnections;
     ConfigHolder m_config;
     Metrics m_metrics;
+    PeerClient m_peers{m_pool.executor(), Milliseconds(100)};
+    PeerServer m_neighbor{m_pool.executor()};
 };
 
-TEST_P(OwnerTakeoverTest, onlyARefusedConnectionTriggersTakeover)
+// A cut between the two owners refuses connections, too. If the second owner took over, both would
+// use all slots of the backend servers.
+TEST_P(OwnerTakeoverTest, onlyARefusalThatTheHostOfTheFirstOwnerConfirmsTriggersTakeover)
 {
-    const MutableMembershipView all(membersFor(GetParam().isSelfSecondOwner));
+    MemberList list = membersFor(GetParam().isSelfSecondOwner);
+    addNeighbor(list);
+    const MutableMembershipView all(list);
     ReachableMembers members(all, proofLifetime);
     const SliceOwnership ownership(members, selfAddress);
-    OwnerTakeover takeover(m_config, ownership, members, m_metrics);
+    OwnerTakeover takeover(m_config, ownership, members, m_peers, m_metrics);
     if (GetParam().first == FirstOwner::Ended)
         m_acceptor.close();
     else if (GetParam().first == FirstOwner::QueueFull)
@@ -158,11 +197,16 @@
 
 INSTANTIATE_TEST_SUITE_P(
     FirstOwners, OwnerTakeoverTest,
-    testing::Values(FirstOwnerCase{"ended", FirstOwner::Ended, true, OwnerRank::First},
-                    FirstOwnerCase{"frozen", FirstOwner::Listening, true, OwnerRank::Second},
-                    FirstOwnerCase{"frozenWithFullQueue", FirstOwner::QueueFull, true,
-                                   OwnerRank::Second},
-                    FirstOwnerCase{"selfIsFirstOwner", FirstOwner::Ended, false, OwnerRank::First}),
+    testing::Values(
+        FirstOwnerCase{"ended", FirstOwner::Ended, Neighbor::Confirms, true, OwnerRank::First},
+        FirstOwnerCase{"cutOff", FirstOwner::Ended, Neighbor::Denies, true, OwnerRank::Second},
+        FirstOwnerCase{"hostCutOff", FirstOwner::Ended, Neighbor::Silent, true, OwnerRank::Second},
+        FirstOwnerCase{"hostUnknown", FirstOwner::Ended, Neighbor::Absent, true, OwnerRank::Second},
+        FirstOwnerCase{"frozen", FirstOwner::Listening, Neighbor::Denies, true, OwnerRank::Second},
+        FirstOwnerCase{"frozenWithFullQueue", FirstOwner::QueueFull, Neighbor::Denies, true,
+                       OwnerRank::Second},
+        FirstOwnerCase{"selfIsFirstOwner", FirstOwner::Ended, Neighbor::Confirms, false,
+                       OwnerRank::First}),
     [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
